--- /dev/null
+++ b/packages/bench/src/lycheerock_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes of the outside systems and the load command; never shipped."""
--- /dev/null
+++ b/packages/bench/src/lycheerock_bench/__main__.py
@@ -0,0 +1,124 @@
+"""Command layer of the bench."""
+
+import json
+import pathlib
+import sys
+
+import aiomisc
+import defopt
+import msgspec
+
+from lycheerock_bench._internal import demo
+from lycheerock_bench._internal import deployments
+from lycheerock_bench._internal import fake_platform
+from lycheerock_bench._internal import fake_target
+from lycheerock_bench._internal import serving
+from lycheerock_model import bundle_check
+
+LOCAL_ZONES = [("montreal", "montreal-a"), ("montreal", "montreal-b")]
+
+
+def platform(*, address: str, seed: int = 1) -> None:
+    """Serves the fake platform.
+
+    Args:
+      address: IP address and port.
+      seed: Seed of the random faults.
+    """
+    with aiomisc.entrypoint(log_config=False) as loop:
+        loop.run_until_complete(_serve_platform(address, seed))
+
+
+async def _serve_platform(address: str, seed: int) -> None:
+    app = fake_platform.FakePlatform(seed).build()
+    await serving.serve({address: app})
+
+
+def targets(
+    *, bundle: pathlib.Path, only: list[str] = [], seed: int = 1
+) -> None:
+    """Serves the fake targets of a bundle.
+
+    Args:
+      bundle: Bundle file, JSON.
+      only: Ids of the targets to serve; all if empty.
+      seed: Seed of the service times.
+    """
+    loaded = bundle_check.load(bundle.read_bytes())
+    apps = {
+        target.address: fake_target.FakeTarget(
+            target.target_id, target.slot_count, seed
+        )
+        for service in loaded.services
+        for target in service.targets
+        if not only or target.target_id in only
+    }
+    with aiomisc.entrypoint(log_config=False) as loop:
+        loop.run_until_complete(_serve_targets(apps))
+
+
+async def _serve_targets(apps: dict[str, fake_target.FakeTarget]) -> None:
+    await serving.serve({address: t.build() for address, t in apps.items()})
+
+
+def write_local(
+    *, directory: pathlib.Path, instances: int = 3, first_port: int = 18_000
+) -> None:
+    """Writes the bundle and the settings of a small local deployment.
+
+    Args:
+      directory: Where the files go.
+      instances: Number of instances.
+      first_port: The platform's port; targets and instances follow.
+    """
+    directory.mkdir(parents=True, exist_ok=True)
+    shapes = [
+        deployments.ServiceShape("guest-portal", "latency", 3, 6, 2, 3, 30),
+        deployments.ServiceShape("ronda-app", "coverage", 3, 6, 2, 2, 25),
+    ]
+    bundle = deployments.build_bundle(
+        shapes, LOCAL_ZONES, first_port + 100, max(5, instances)
+    )
+    _write(directory / "bundle.json", bundle)
+    address = f"127.0.0.1:{first_port}"
+    for settings in deployments.build_settings(
+        instances, LOCAL_ZONES, first_port + 200, address
+    ):
+        _write(directory / f"{settings['instance_id']}.json", settings)
+
+
+def _write(path: pathlib.Path, document: object) -> None:
+    text = json.dumps(document, indent=2, ensure_ascii=False)
+    path.write_text(text + "\n", encoding="utf-8")
+
+
+def run_demo(*, directory: pathlib.Path) -> int:
+    """Installs the bundle, sends a search and a booking, prints the answers.
+
+    Args:
+      directory: Directory that `write-local` filled.
+
+    Returns:
+      Exit code.
+    """
+    first = msgspec.json.decode((directory / "i0.json").read_bytes())
+    bundle = msgspec.json.decode((directory / "bundle.json").read_bytes())
+    with aiomisc.entrypoint(log_config=False) as loop:
+        return loop.run_until_complete(
+            demo.run(first["platform_address"], first["caller_address"], bundle)
+        )
+
+
+def main() -> None:
+    """Entry point of the `lycheerock-bench` binary."""
+    sys.exit(
+        defopt.run(
+            [platform, targets, write_local, run_demo],
+            cli_options="all",
+            short={},
+        )
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/bench/src/lycheerock_bench/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private modules of the bench."""
--- /dev/null
+++ b/packages/bench/src/lycheerock_bench/_internal/demo.py
@@ -0,0 +1,77 @@
+"""One search and one booking against a local deployment."""
+
+import asyncio
+import json
+from typing import Any
+
+import aiohttp
+
+from lycheerock_bench._internal import deployments
+
+READY_ATTEMPTS = 100
+READY_DELAY_S = 0.1
+
+
+async def run(platform: str, entry: str, bundle: dict[str, Any]) -> int:
+    """Installs the bundle, then sends a search and a booking.
+
+    Args:
+      platform: Address of the platform.
+      entry: Address of an instance's caller interface.
+      bundle: The bundle to install.
+
+    Returns:
+      0 when both requests are done, else 1.
+    """
+    headers = {"Authorization": f"Bearer {deployments.CALLER_TOKEN}"}
+    async with aiohttp.ClientSession(headers=headers) as session:
+        await install(session, platform, bundle)
+        search = await _search(session, entry)
+        booking = await _book(session, entry)
+    print(json.dumps({"search": search, "booking": booking}, indent=2))
+    done = all(a["outcome"] == "done" for a in (search, booking))
+    return 0 if done else 1
+
+
+async def install(
+    session: aiohttp.ClientSession, platform: str, bundle: dict[str, Any]
+) -> None:
+    """Stores a first bundle at the platform and puts it in force."""
+    base = f"http://{platform}/objects"
+    number = bundle["number"]
+    url = f"{base}/bundles/{number}?if_version=0"
+    for _ in range(READY_ATTEMPTS):
+        try:
+            async with session.put(url, json=bundle):
+                break
+        except aiohttp.ClientConnectorError:
+            await asyncio.sleep(READY_DELAY_S)
+    rollout = {"in_force": number, "staging": 0, "coordinator": "", "epoch": 0}
+    url = f"{base}/rollout/current?if_version=0"
+    async with session.put(url, json=rollout):
+        pass
+
+
+async def _search(session: aiohttp.ClientSession, entry: str) -> Any:
+    url = f"http://{entry}/v1/services/guest-portal/search"
+    for _ in range(READY_ATTEMPTS):
+        try:
+            async with session.post(url, json={"query": "table"}) as response:
+                answer = await response.json()
+        except aiohttp.ClientConnectorError:
+            answer = {"outcome": "not_run"}
+        if answer["outcome"] == "done":
+            break
+        await asyncio.sleep(READY_DELAY_S)
+    return answer
+
+
+async def _book(session: aiohttp.ClientSession, entry: str) -> Any:
+    async with session.post(f"http://{entry}/v1/keys") as response:
+        key = (await response.json())["keys"][0]
+    async with session.post(
+        f"http://{entry}/v1/services/guest-portal/run",
+        headers={"X-Request-Key": key},
+        json={"shard_key": "supper-club-12", "payload": {"seats": 4}},
+    ) as response:
+        return await response.json()
--- /dev/null
+++ b/packages/bench/src/lycheerock_bench/_internal/deployments.py
@@ -0,0 +1,144 @@
+"""Builds bundles and instance settings for local deployments."""
+
+import dataclasses
+import hashlib
+from typing import Any
+
+CALLER_TOKEN = "caller-token-for-local-runs"
+OPERATOR_TOKEN = "operator-token-for-local-runs"
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceShape:
+    """Size of one service.
+
+    Attributes:
+      name: Service name.
+      weighs: latency or coverage.
+      target_count: Number of targets.
+      shard_count: Number of shards.
+      replica_count: Targets per shard.
+      slot_count: Slots per target.
+      connection_limit: Connections per target.
+    """
+
+    name: str
+    weighs: str
+    target_count: int
+    shard_count: int
+    replica_count: int
+    slot_count: int
+    connection_limit: int
+
+
+def build_bundle(
+    shapes: list[ServiceShape],
+    zones: list[tuple[str, str]],
+    first_port: int,
+    instance_count_max: int,
+) -> dict[str, Any]:
+    """Builds a bundle whose targets listen on consecutive loopback ports.
+
+    Args:
+      shapes: The services.
+      zones: Region and zone pairs; targets go round-robin over them.
+      first_port: Port of the first target.
+      instance_count_max: Most instances that run at once.
+
+    Returns:
+      The bundle as a JSON value.
+    """
+    services = []
+    port = first_port
+    for shape in shapes:
+        services.append(_build_service(shape, zones, port))
+        port += shape.target_count
+    return {
+        "number": 1,
+        "author": "local-operator",
+        "instance_count_max": instance_count_max,
+        "services": services,
+        "callers": [
+            {
+                "name": "local-caller",
+                "token_sha256": hashlib.sha256(
+                    CALLER_TOKEN.encode()
+                ).hexdigest(),
+                "service_names": [shape.name for shape in shapes],
+            }
+        ],
+    }
+
+
+def _build_service(
+    shape: ServiceShape, zones: list[tuple[str, str]], first_port: int
+) -> dict[str, Any]:
+    targets = []
+    for index in range(shape.target_count):
+        region, zone = zones[index % len(zones)]
+        targets.append(
+            {
+                "target_id": f"{shape.name}-t{index}",
+                "address": f"127.0.0.1:{first_port + index}",
+                "region": region,
+                "zone": zone,
+                "slot_count": shape.slot_count,
+                "connection_limit": shape.connection_limit,
+            }
+        )
+    shards = [
+        {
+            "shard_id": f"s{index}",
+            "target_ids": [
+                f"{shape.name}-t{(index + replica) % shape.target_count}"
+                for replica in range(shape.replica_count)
+            ],
+        }
+        for index in range(shape.shard_count)
+    ]
+    return {
+        "name": shape.name,
+        "weighs": shape.weighs,
+        "targets": targets,
+        "shard_maps": [{"shard_map_version": 1, "shards": shards}],
+    }
+
+
+def build_settings(
+    count: int, zones: list[tuple[str, str]], first_port: int, platform: str
+) -> list[dict[str, Any]]:
+    """Builds the settings of `count` instances on loopback.
+
+    Args:
+      count: Number of instances.
+      zones: Region and zone pairs; instances go round-robin over them.
+      first_port: Port of the first instance; each uses three.
+      platform: Address of the platform.
+
+    Returns:
+      One settings document per instance.
+    """
+    instances: list[dict[str, Any]] = []
+    for index in range(count):
+        region, zone = zones[index % len(zones)]
+        port = first_port + 3 * index
+        instances.append(
+            {
+                "instance_id": f"i{index}",
+                "region": region,
+                "zone": zone,
+                "caller_address": f"127.0.0.1:{port}",
+                "peer_address": f"127.0.0.1:{port + 1}",
+                "operator_address": f"127.0.0.1:{port + 2}",
+                "operator_token": OPERATOR_TOKEN,
+                "platform_address": platform,
+            }
+        )
+    keys = ("instance_id", "peer_address", "region", "zone")
+    for settings in instances:
+        settings["peers"] = [
+            {key: other[key] for key in keys}
+            for other in instances
+            if other is not settings
+        ]
+    return instances
--- /dev/null
+++ b/packages/bench/src/lycheerock_bench/_internal/fake_target.py
@@ -0,0 +1,206 @@
+"""Fake of one target: slots, connections, index versions and faults."""
+
+import asyncio
+import collections
+import dataclasses
+import random
+import time
+from typing import Any
+
+import aiohttp.web
+import msgspec
+
+
+@dataclasses.dataclass(frozen=True)
+class Behaviour:
+    """How the target behaves; replaced as a whole by the control interface.
+
+    Attributes:
+      service_time_ms: Median time to serve one request.
+      service_time_sigma: Spread of the lognormal service time.
+      slow_ratio: Share of requests that are slow.
+      slow_factor: Factor on the service time of slow requests.
+      connect_ms: Time that a new connection takes.
+      shed_ratio: Share of requests that are shed.
+      state: serving or draining.
+      state_sequence: Counts changes of state.
+      held: Index versions by shard map version.
+      silent_connections: Whether connections that are open now go silent.
+      malformed: Whether replies are not JSON.
+      endless: Whether replies never end.
+    """
+
+    service_time_ms: float = 2.0
+    service_time_sigma: float = 0.3
+    slow_ratio: float = 0.0
+    slow_factor: float = 20.0
+    connect_ms: float = 1.0
+    shed_ratio: float = 0.0
+    state: str = "serving"
+    state_sequence: int = 0
+    held: dict[int, tuple[int, ...]] = dataclasses.field(
+        default_factory=lambda: {1: (1,)}
+    )
+    silent_connections: bool = False
+    malformed: bool = False
+    endless: bool = False
+
+
+class FakeTarget:
+    """Serves one target and counts what it is asked to do."""
+
+    def __init__(self, target_id: str, slot_count: int, seed: int):
+        self._target_id = target_id
+        self._slot_count = slot_count
+        self._random = random.Random(f"{seed}/{target_id}")
+        self._epoch = time.time_ns() // 1_000_000
+        self._busy = 0
+        self._behaviour = Behaviour()
+        self._seen: set[asyncio.BaseTransport] = set()
+        self._silent: set[asyncio.BaseTransport] = set()
+        self._counts: collections.Counter[str] = collections.Counter()
+        self._runs: collections.Counter[str] = collections.Counter()
+
+    def build(self) -> aiohttp.web.Application:
+        """Returns the aiohttp application."""
+        app = aiohttp.web.Application()
+        app.router.add_post("/v1/shard", self._shard)
+        app.router.add_post("/v1/run", self._run)
+        app.router.add_put("/control/behaviour", self._set_behaviour)
+        app.router.add_get("/control/counts", self._get_counts)
+        return app
+
+    async def _enter(self, request: aiohttp.web.Request) -> None:
+        transport = request.transport
+        assert transport is not None
+        self._seen = {t for t in self._seen if not t.is_closing()}
+        if transport not in self._seen:
+            self._seen.add(transport)
+            self._counts["connections"] += 1
+            await asyncio.sleep(self._behaviour.connect_ms / 1000)
+        most = max(self._counts["connections_max"], len(self._seen))
+        self._counts["connections_max"] = most
+        if transport in self._silent:
+            await asyncio.Event().wait()
+
+    def _refusal(self) -> str | None:
+        if self._behaviour.state == "draining":
+            return "draining"
+        if self._busy >= self._slot_count:
+            return "shed"
+        if self._random.random() < self._behaviour.shed_ratio:
+            return "shed"
+        return None
+
+    async def _serve(self) -> None:
+        behaviour = self._behaviour
+        time_ms = behaviour.service_time_ms * self._random.lognormvariate(
+            0.0, behaviour.service_time_sigma
+        )
+        if self._random.random() < behaviour.slow_ratio:
+            time_ms *= behaviour.slow_factor
+        self._busy += 1
+        self._counts["busy_max"] = max(self._counts["busy_max"], self._busy)
+        try:
+            await asyncio.sleep(time_ms / 1000)
+        finally:
+            self._busy -= 1
+
+    async def _shard(
+        self, request: aiohttp.web.Request
+    ) -> aiohttp.web.StreamResponse:
+        self._counts["shard_requests"] += 1
+        await self._enter(request)
+        body = msgspec.json.decode(await request.read())
+        reply = self._base_reply(body)
+        reply["shard"] = body["shard"]
+        status = self._refusal() or self._pick_version(body, reply)
+        if status == "ok":
+            await self._serve()
+            self._counts["shard_served"] += 1
+            reply["rows"] = [
+                {
+                    "shard": body["shard"],
+                    "index_version": reply["index_version"],
+                    "shard_map_version": reply["shard_map_version"],
+                    "query": body["query"],
+                }
+            ]
+        else:
+            self._counts[status] += 1
+        return await self._reply(request, reply | {"status": status})
+
+    def _pick_version(self, body: Any, reply: dict[str, Any]) -> str:
+        map_version = body["shard_map_version"]
+        reply["shard_map_version"] = map_version
+        held = self._behaviour.held.get(map_version, ())
+        reply["held_versions"] = list(held)
+        if not held:
+            return "map_missing"
+        wanted = body["index_version"] or max(held)
+        reply["index_version"] = wanted
+        return "ok" if wanted in held else "version_missing"
+
+    async def _run(
+        self, request: aiohttp.web.Request
+    ) -> aiohttp.web.StreamResponse:
+        self._counts["run_requests"] += 1
+        await self._enter(request)
+        body = msgspec.json.decode(await request.read())
+        reply = self._base_reply(body)
+        status = self._refusal()
+        if status is None:
+            status = "done"
+            # The effect comes first, so that a lost reply leaves a run behind.
+            self._runs[body["request_key"]] += 1
+            await asyncio.shield(self._serve())
+            reply["result"] = {"run_by": self._target_id}
+        else:
+            self._counts[status] += 1
+        return await self._reply(request, reply | {"status": status})
+
+    def _base_reply(self, body: Any) -> dict[str, Any]:
+        return {
+            "attempt_id": body["attempt_id"],
+            "target_state": self._behaviour.state,
+            "target_epoch": self._epoch,
+            "state_sequence": self._behaviour.state_sequence,
+            "retry_after_ms": 20,
+        }
+
+    async def _reply(
+        self, request: aiohttp.web.Request, reply: dict[str, Any]
+    ) -> aiohttp.web.StreamResponse:
+        if self._behaviour.malformed:
+            return aiohttp.web.Response(text="<html>oops</html>")
+        if self._behaviour.endless:
+            return await _stream_forever(request)
+        return aiohttp.web.Response(
+            body=msgspec.json.encode(reply), content_type="application/json"
+        )
+
+    async def _set_behaviour(
+        self, request: aiohttp.web.Request
+    ) -> aiohttp.web.Response:
+        self._behaviour = msgspec.json.decode(
+            await request.read(), type=Behaviour
+        )
+        if self._behaviour.silent_connections:
+            self._silent |= self._seen
+        return aiohttp.web.json_response({})
+
+    async def _get_counts(
+        self, request: aiohttp.web.Request
+    ) -> aiohttp.web.Response:
+        return aiohttp.web.json_response(
+            {"counts": self._counts, "runs": self._runs}
+        )
+
+
+async def _stream_forever(
+    request: aiohttp.web.Request,
+) -> aiohttp.web.StreamResponse:
+    response = aiohttp.web.StreamResponse()
+    await response.prepare(request)
+    while True:
+        await response.write(b" " * 65_536)
--- /dev/null
+++ b/packages/bench/src/lycheerock_bench/harness.py
@@ -0,0 +1,300 @@
+"""Starts and breaks local deployments for tests and measurements."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from typing import Any
+
+import aiohttp
+
+from lycheerock_bench._internal import demo
+from lycheerock_bench._internal import deployments
+
+# Below the range from which the kernel takes ports of outgoing connections.
+_PORT_MIN = 10_000
+_PORT_MAX = 32_000
+_BLOCK_SIZE = 400
+_TARGETS_OFFSET = 2
+_INSTANCES_OFFSET = 200
+
+READY_TIMEOUT_S = 60.0
+STOP_TIMEOUT_S = 60.0
+
+ServiceShape = deployments.ServiceShape
+LOCAL_ZONES = (("montreal", "montreal-a"), ("montreal", "montreal-b"))
+
+
+class Deployment:
+    """One platform, the targets of one bundle, and some instances.
+
+    Attributes:
+      bundle: The first bundle, a JSON value; may be changed before `start`.
+      settings: Settings of each instance by id; may be changed before `start`.
+      directory: Where files and logs go.
+    """
+
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        shapes: list[deployments.ServiceShape],
+        instance_count: int,
+        instance_count_max: int | None = None,
+    ):
+        self.directory = directory
+        self._claim, first_port = _claim_ports()
+        self.platform = f"127.0.0.1:{first_port + 1}"
+        zones = list(LOCAL_ZONES)
+        self.bundle = deployments.build_bundle(
+            shapes,
+            zones,
+            first_port + _TARGETS_OFFSET,
+            instance_count_max or max(5, instance_count),
+        )
+        documents = deployments.build_settings(
+            instance_count,
+            zones,
+            first_port + _INSTANCES_OFFSET,
+            self.platform,
+        )
+        self.settings = {d["instance_id"]: d for d in documents}
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._stack = contextlib.AsyncExitStack()
+
+    async def start(self, *, separate_targets: bool = False) -> None:
+        """Starts all processes and waits until every instance is ready.
+
+        Args:
+          separate_targets: Whether each target gets a process of its own.
+        """
+        self.directory.mkdir(parents=True, exist_ok=True)
+        self.session = await self._stack.enter_async_context(
+            aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=60.0))
+        )
+        _write(self.directory / "bundle.json", self.bundle)
+        self.start_platform()
+        self._start_targets(separate=separate_targets)
+        await demo.install(self.session, self.platform, self.bundle)
+        await self.set_listed(list(self.settings))
+        for instance_id in self.settings:
+            self.start_instance(instance_id)
+        for instance_id in self.settings:
+            await self.wait_ready(instance_id)
+
+    def start_platform(self) -> None:
+        """Starts the fake platform."""
+        self._spawn(
+            "platform",
+            "lycheerock_bench",
+            ["platform", "--address", self.platform],
+        )
+
+    def _start_targets(self, *, separate: bool) -> None:
+        path = str(self.directory / "bundle.json")
+        arguments = ["targets", "--bundle", path]
+        if not separate:
+            self._spawn("targets", "lycheerock_bench", arguments)
+            return
+        for target in self.targets():
+            target_id = target["target_id"]
+            self.start_target(target_id)
+
+    def start_target(self, target_id: str) -> None:
+        """Starts one target in a process of its own."""
+        path = str(self.directory / "bundle.json")
+        arguments = ["targets", "--bundle", path, "--only", target_id]
+        self._spawn(target_id, "lycheerock_bench", arguments)
+
+    def start_instance(self, instance_id: str) -> None:
+        """Starts one instance."""
+        path = self.directory / f"{instance_id}.json"
+        _write(path, self.settings[instance_id])
+        self._spawn(instance_id, "lycheerock", [str(path)])
+
+    def _spawn(self, name: str, module: str, arguments: list[str]) -> None:
+        with (self.directory / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def targets(self) -> list[dict[str, Any]]:
+        """Returns all targets of the bundle."""
+        services = self.bundle["services"]
+        return [t for service in services for t in service["targets"]]
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a process of this deployment."""
+        self.processes[name].send_signal(number)
+
+    def wait_exit(self, name: str) -> int:
+        """Waits for the end of a process and returns its exit code."""
+        return self.processes.pop(name).wait(STOP_TIMEOUT_S)
+
+    def kill(self, name: str) -> None:
+        """Kills a process and waits for its end."""
+        self.signal(name, signal.SIGKILL)
+        self.wait_exit(name)
+
+    async def wait_ready(self, instance_id: str) -> None:
+        """Waits until an instance reports that it is ready."""
+        address = self.settings[instance_id]["operator_address"]
+        deadline_s = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < deadline_s:
+            with contextlib.suppress(aiohttp.ClientError):
+                url = f"http://{address}/readyz"
+                async with self.session.get(url) as response:
+                    if response.status == 200:
+                        return
+            await asyncio.sleep(0.05)
+        raise TimeoutError(f"{instance_id} is not ready; read its log")
+
+    async def search(
+        self,
+        instance_id: str,
+        service: str,
+        query: Any = "q",
+        deadline_ms: int | None = None,
+    ) -> Any:
+        """Sends one search to an instance and returns the answer."""
+        headers = _caller_headers()
+        if deadline_ms is not None:
+            headers["X-Deadline-Ms"] = str(deadline_ms)
+        url = self.caller_url(instance_id, f"/v1/services/{service}/search")
+        body = {"query": query}
+        async with self.session.post(url, headers=headers, json=body) as reply:
+            return await reply.json()
+
+    async def issue_keys(self, instance_id: str, count: int = 1) -> list[str]:
+        """Gets request keys from an instance."""
+        url = self.caller_url(instance_id, f"/v1/keys?count={count}")
+        async with self.session.post(url, headers=_caller_headers()) as reply:
+            keys: list[str] = (await reply.json())["keys"]
+            return keys
+
+    async def book(
+        self,
+        instance_id: str,
+        service: str,
+        key: str,
+        shard_key: str = "k",
+        deadline_ms: int = 5_000,
+    ) -> Any:
+        """Sends one non-idempotent request and returns the answer."""
+        headers = _caller_headers()
+        headers["X-Request-Key"] = key
+        headers["X-Deadline-Ms"] = str(deadline_ms)
+        url = self.caller_url(instance_id, f"/v1/services/{service}/run")
+        body = {"shard_key": shard_key, "payload": {"seats": 2}}
+        async with self.session.post(url, headers=headers, json=body) as reply:
+            return await reply.json()
+
+    def caller_url(self, instance_id: str, path: str) -> str:
+        """Returns a URL of an instance's caller interface."""
+        return f"http://{self.settings[instance_id]['caller_address']}{path}"
+
+    async def ops(
+        self, instance_id: str, path: str, method: str = "GET", body: Any = None
+    ) -> Any:
+        """Calls the operator interface of an instance."""
+        settings = self.settings[instance_id]
+        url = f"http://{settings['operator_address']}{path}"
+        token = settings["operator_token"]
+        headers = {"Authorization": f"Bearer {token}"}
+        async with self.session.request(
+            method, url, headers=headers, json=body
+        ) as reply:
+            return await reply.json()
+
+    async def behave(self, target_id: str, **behaviour: Any) -> None:
+        """Replaces the behaviour of a fake target."""
+        address = self._target_address(target_id)
+        url = f"http://{address}/control/behaviour"
+        async with self.session.put(url, json=behaviour) as reply:
+            reply.raise_for_status()
+
+    async def target_counts(self, target_id: str) -> Any:
+        """Returns what a fake target has counted."""
+        url = f"http://{self._target_address(target_id)}/control/counts"
+        async with self.session.get(url) as reply:
+            return await reply.json()
+
+    def _target_address(self, target_id: str) -> str:
+        for target in self.targets():
+            if target["target_id"] == target_id:
+                address: str = target["address"]
+                return address
+        raise KeyError(target_id)
+
+    async def platform_faults(self, **faults: Any) -> None:
+        """Replaces the faults of the fake platform."""
+        url = f"http://{self.platform}/control/faults"
+        async with self.session.put(url, json=faults) as reply:
+            reply.raise_for_status()
+
+    async def platform_counts(self) -> Any:
+        """Returns the calls that the fake platform has counted by kind."""
+        url = f"http://{self.platform}/control/counts"
+        async with self.session.get(url) as reply:
+            return await reply.json()
+
+    async def set_listed(
+        self, live: list[str], leaving: list[str] | None = None
+    ) -> None:
+        """Sets the platform's list of instances."""
+        entries = [
+            {
+                "instance_id": instance_id,
+                "state": state,
+                "peer_address": self.settings[instance_id]["peer_address"],
+                "region": self.settings[instance_id]["region"],
+                "zone": self.settings[instance_id]["zone"],
+            }
+            for state, ids in (("live", live), ("leaving", leaving or []))
+            for instance_id in ids
+        ]
+        url = f"http://{self.platform}/control/instances"
+        async with self.session.put(url, json={"instances": entries}) as reply:
+            reply.raise_for_status()
+
+    async def stop(self) -> None:
+        """Ends all processes of this deployment."""
+        for process in self.processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        for process in self.processes.values():
+            process.wait(STOP_TIMEOUT_S)
+        self.processes.clear()
+        await self._stack.aclose()
+        self._claim.close()
+
+
+def _caller_headers() -> dict[str, str]:
+    return {"Authorization": f"Bearer {deployments.CALLER_TOKEN}"}
+
+
+def _claim_ports() -> tuple[socket.socket, int]:
+    """Claims a block of ports by listening on its first one."""
+    blocks = list(range(_PORT_MIN, _PORT_MAX - _BLOCK_SIZE, _BLOCK_SIZE))
+    random.SystemRandom().shuffle(blocks)
+    for first_port in blocks:
+        claim = socket.socket()
+        try:
+            claim.bind(("127.0.0.1", first_port))
+            claim.listen(1)
+        except OSError:
+            claim.close()
+            continue
+        return claim, first_port
+    raise RuntimeError("no free port block; stop other deployments")
+
+
+def _write(path: pathlib.Path, document: object) -> None:
+    path.write_text(json.dumps(document, indent=2) + "\n", encoding="utf-8")
--- /dev/null
+++ b/packages/ctl/src/lycheectl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line of lycheerock."""
--- /dev/null
+++ b/packages/ctl/src/lycheectl/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private modules of lycheectl."""
--- /dev/null
+++ b/packages/daemon/src/lycheerock/__init__.py
@@ -0,0 +1,1 @@
+"""The lycheerock daemon: one entry instance of the query tier."""
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private packages of the daemon, one per concern."""
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/booking/__init__.py
@@ -0,0 +1,1 @@
+"""Non-idempotent requests: request keys and their outcomes."""
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/bundles/__init__.py
@@ -0,0 +1,1 @@
+"""The settings bundle on this instance."""
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Sending one request to one target within its limits."""
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/entry/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface for callers."""
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Start and planned stop of the process."""
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
@@ -0,0 +1,141 @@
+"""Builds and runs one daemon process."""
+
+import asyncio
+import contextlib
+import signal
+import time
+
+import aiohttp.web
+import grpc
+import structlog
+
+from lycheerock._internal.booking import forwarding
+from lycheerock._internal.booking import keys
+from lycheerock._internal.booking import runner as runner_lib
+from lycheerock._internal.bundles import store as store_lib
+from lycheerock._internal.bundles import watcher
+from lycheerock._internal.dispatch import dispatcher as dispatcher_lib
+from lycheerock._internal.dispatch import ownership
+from lycheerock._internal.entry import server as entry_server
+from lycheerock._internal.operator import server as operator_server
+from lycheerock._internal.peers import links as links_lib
+from lycheerock._internal.peers import server as peer_server
+from lycheerock._internal.platform import client as client_lib
+from lycheerock_model import settings as settings_lib
+
+_LOG = structlog.get_logger()
+
+
+class Daemon:
+    """All parts of one process."""
+
+    def __init__(self, settings: settings_lib.Settings):
+        self._settings = settings
+        self.incarnation = time.time_ns() // 1_000_000
+        self._store = store_lib.BundleStore()
+        self._links = {
+            peer.instance_id: links_lib.PeerLink(peer.peer_address)
+            for peer in settings.peers
+        }
+        self._dispatcher = dispatcher_lib.Dispatcher(
+            settings.instance_id, self._candidates, self._links
+        )
+        self._store.subscribe(self._dispatcher.apply)
+        self._platform = client_lib.PlatformClient(settings.platform_address)
+        table = keys.KeyTable(
+            settings.instance_id, self.incarnation, time.monotonic()
+        )
+        self._forwarder = forwarding.Forwarder(
+            {p.instance_id: p.peer_address for p in settings.peers}
+        )
+        self._runner = runner_lib.Runner(
+            table, self._dispatcher, self._forwarder.forward
+        )
+
+    def _candidates(self) -> list[ownership.Candidate]:
+        settings = self._settings
+        found = [
+            ownership.Candidate(
+                settings.instance_id, settings.region, settings.zone
+            )
+        ]
+        for peer in settings.peers:
+            if self._links[peer.instance_id].is_ready:
+                found.append(
+                    ownership.Candidate(
+                        peer.instance_id, peer.region, peer.zone
+                    )
+                )
+        return found
+
+    async def run(self) -> None:
+        """Serves until SIGTERM or SIGINT."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for signal_number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signal_number, stop.set)
+        async with contextlib.AsyncExitStack() as stack:
+            await self._start(stack)
+            _LOG.info("started", incarnation=self.incarnation)
+            await stop.wait()
+            _LOG.info("stopping")
+
+    async def _start(self, stack: contextlib.AsyncExitStack) -> None:
+        stack.push_async_callback(self._platform.close)
+        stack.push_async_callback(self._forwarder.close)
+        stack.push_async_callback(self._dispatcher.close)
+        tasks = [asyncio.create_task(watcher.run(self._platform, self._store))]
+        for link in self._links.values():
+            tasks.append(asyncio.create_task(link.run()))
+        for task in tasks:
+            stack.callback(task.cancel)
+        server = await self._start_peer_server()
+        stack.push_async_callback(server.stop, None)
+        entry = entry_server.EntryServer(
+            f"{self._settings.instance_id}.{self.incarnation:x}",
+            self._store,
+            self._dispatcher,
+            self._runner,
+        )
+        operator = operator_server.OperatorServer(
+            self._settings.operator_token.get_secret_value(),
+            self.dump,
+            lambda: self._store.number > 0,
+        )
+        await _serve(stack, entry.build(), self._settings.caller_address)
+        await _serve(stack, operator.build(), self._settings.operator_address)
+
+    async def _start_peer_server(self) -> grpc.aio.Server:
+        servicer = peer_server.PeerServicer(
+            self._dispatcher.submit_here,
+            forwarding.serve(self._runner, self._store),
+        )
+        return await peer_server.start(self._settings.peer_address, servicer)
+
+    def dump(self) -> dict[str, object]:
+        """Returns the state of the process as JSON values."""
+        return {
+            "instance_id": self._settings.instance_id,
+            "incarnation": self.incarnation,
+            "bundle_number": self._store.number,
+            "peers": {
+                name: {"address": link.address, "ready": link.is_ready}
+                for name, link in self._links.items()
+            },
+            "targets": self._dispatcher.state(),
+            "keys_used": len(self._runner.table),
+            "platform_calls": dict(self._platform.call_counts),
+        }
+
+
+async def _serve(
+    stack: contextlib.AsyncExitStack,
+    app: aiohttp.web.Application,
+    address: str,
+) -> None:
+    runner = aiohttp.web.AppRunner(app, access_log=None)
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    host, _, port = address.rpartition(":")
+    site = aiohttp.web.TCPSite(runner, host, int(port))
+    await site.start()
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances exist and which of them are alive."""
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The gRPC server and the streams between instances."""
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/query/__init__.py
@@ -0,0 +1,1 @@
+"""Searches: snapshot choice, coverage, hedges and merging."""
--- /dev/null
+++ b/packages/model/src/lycheerock_model/__init__.py
@@ -0,0 +1,1 @@
+"""Data classes, checks and typed errors shared by every lycheerock package."""
--- /dev/null
+++ b/packages/model/src/lycheerock_model/bundle.py
@@ -0,0 +1,131 @@
+"""The settings bundle: services, shards, targets and callers."""
+
+import enum
+from typing import Annotated
+
+import pydantic
+from pydantic import dataclasses
+
+from lycheerock_model import documents
+
+Name = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+Address = Annotated[
+    str, pydantic.Field(pattern=r"^[0-9a-f.:\[\]]+:[0-9]{1,5}$")
+]
+Sha256Hex = Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{64}$")]
+Ratio = Annotated[float, pydantic.Field(ge=0.0, le=1.0)]
+Positive = Annotated[int, pydantic.Field(ge=1)]
+DurationMs = Annotated[int, pydantic.Field(ge=1, le=600_000)]
+
+
+class Weighs(enum.StrEnum):
+    """What a service gives priority to when a shard is late."""
+
+    LATENCY = "latency"
+    COVERAGE = "coverage"
+
+
+class DispatchMode(enum.StrEnum):
+    """How instances share the slots of a target."""
+
+    OWNER = "owner"
+    DIRECT = "direct"
+
+
+@dataclasses.dataclass(frozen=True, config=documents.STRICT)
+class Target:
+    """One back-end server.
+
+    Attributes:
+      target_id: Unique name within the bundle.
+      address: IP address and port.
+      region: Region of the target.
+      zone: Availability zone of the target.
+      slot_count: Requests that the target runs at once.
+      connection_limit: Connections that the target accepts from all instances.
+    """
+
+    target_id: Name
+    address: Address
+    region: Name
+    zone: Name
+    slot_count: Positive
+    connection_limit: Positive
+
+
+@dataclasses.dataclass(frozen=True, config=documents.STRICT)
+class Shard:
+    """One shard and the targets that hold a replica of it."""
+
+    shard_id: Name
+    target_ids: Annotated[tuple[Name, ...], pydantic.Field(min_length=1)]
+
+
+@dataclasses.dataclass(frozen=True, config=documents.STRICT)
+class ShardMap:
+    """A versioned partition of a service's data into shards."""
+
+    shard_map_version: Positive
+    shards: Annotated[tuple[Shard, ...], pydantic.Field(min_length=1)]
+
+
+@dataclasses.dataclass(frozen=True, config=documents.STRICT)
+class Service:
+    """A service: its targets, its shard maps and its policy.
+
+    Attributes:
+      name: Unique name within the bundle.
+      weighs: Whether latency or coverage goes first.
+      targets: The service's targets.
+      shard_maps: One shard map, or two during a repartition.
+      coverage_min_ratio: Least share of shards that an answer must cover.
+      partial_allowed: Whether an answer may lack shards at all.
+      deadline_default_ms: Deadline of a request that names none.
+      deadline_max_ms: Longest deadline that a caller may ask for.
+      reply_size_max_bytes: Largest reply accepted from a target.
+      hedge_ratio: Extra requests allowed per first attempt.
+    """
+
+    name: Name
+    weighs: Weighs
+    targets: Annotated[tuple[Target, ...], pydantic.Field(min_length=1)]
+    shard_maps: Annotated[
+        tuple[ShardMap, ...], pydantic.Field(min_length=1, max_length=2)
+    ]
+    coverage_min_ratio: Ratio = 0.0
+    partial_allowed: bool = True
+    deadline_default_ms: DurationMs = 1_000
+    deadline_max_ms: DurationMs = 30_000
+    reply_size_max_bytes: Positive = 1_048_576
+    hedge_ratio: Ratio = 0.05
+
+
+@dataclasses.dataclass(frozen=True, config=documents.STRICT)
+class Caller:
+    """A customer program and the services that it may reach."""
+
+    name: Name
+    token_sha256: Sha256Hex
+    service_names: tuple[Name, ...]
+
+
+@dataclasses.dataclass(frozen=True, config=documents.STRICT)
+class Bundle:
+    """One numbered, immutable version of all operator settings.
+
+    Attributes:
+      number: Bundle number; a later bundle has a higher one.
+      author: Operator who proposed it.
+      instance_count_max: Most instances that run at once; divides each target's
+        connection limit into shares.
+      services: All services.
+      callers: All callers.
+      dispatch_mode: How instances share the slots of a target.
+    """
+
+    number: Annotated[int, pydantic.Field(ge=0)]
+    author: Name
+    instance_count_max: Positive
+    services: tuple[Service, ...]
+    callers: tuple[Caller, ...]
+    dispatch_mode: DispatchMode = DispatchMode.OWNER
--- /dev/null
+++ b/packages/protocol/src/lycheerock_protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol between instances: peer.proto and the code generated from it."""
