--- a/packages/daemon/src/lycheerock/_internal/booking/forwarding.py
+++ b/packages/daemon/src/lycheerock/_internal/booking/forwarding.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Mapping
 import time
 
 import grpc
@@ -11,18 +10,23 @@
 from lycheerock._internal.booking import keys
 from lycheerock._internal.booking import runner as runner_lib
 from lycheerock._internal.bundles import store as store_lib
-from lycheerock._internal.peers import links
+from lycheerock._internal.membership import directory as directory_lib
+from lycheerock._internal.peers import channels as channels_lib
 from lycheerock_model import answers
 from lycheerock_protocol import peer_pb2
 from lycheerock_protocol import peer_pb2_grpc
 
 
 class Forwarder:
-    """Owns one channel per peer for forwarded requests."""
+    """Forwards requests to the members of a directory."""
 
-    def __init__(self, addresses: Mapping[str, str]):
-        self._addresses = addresses
-        self._channels: dict[str, grpc.aio.Channel] = {}
+    def __init__(
+        self,
+        directory: directory_lib.Directory,
+        channels: channels_lib.Channels,
+    ):
+        self._directory = directory
+        self._channels = channels
 
     async def forward(
         self, key: keys.RequestKey, request: runner_lib.RunRequest
@@ -37,8 +41,8 @@
           The answer of that instance; unknown if it cannot be reached, since an
           earlier attempt with the same key may have run.
         """
-        address = self._addresses.get(key.instance_id)
-        if address is None:
+        owner = self._directory.find(key.instance_id)
+        if owner is None:
             return runner_lib.unknown(
                 request, "the instance that issued the key is gone"
             )
@@ -52,7 +56,7 @@
             time_left_ms=max(0, int(time_left_s * 1000)),
             payload=msgspec.json.encode(request.payload),
         )
-        stub = peer_pb2_grpc.PeerStub(self._channel(address))
+        stub = peer_pb2_grpc.PeerStub(self._channels.get(owner.peer_address))
         try:
             reply = await stub.RunKeyed(message, timeout=max(0.0, time_left_s))
         except grpc.aio.AioRpcError as error:
@@ -61,20 +65,6 @@
             )
         return msgspec.json.decode(reply.answer, type=answers.Answer)
 
-    def _channel(self, address: str) -> grpc.aio.Channel:
-        channel = self._channels.get(address)
-        if channel is None:
-            channel = grpc.aio.insecure_channel(
-                address, options=links.CHANNEL_OPTIONS
-            )
-            self._channels[address] = channel
-        return channel
-
-    async def close(self) -> None:
-        """Closes all channels."""
-        for channel in self._channels.values():
-            await channel.close()
-
 
 def serve(
     runner: runner_lib.Runner, store: store_lib.BundleStore
--- a/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
@@ -16,8 +16,11 @@
 from lycheerock._internal.bundles import watcher
 from lycheerock._internal.dispatch import dispatcher as dispatcher_lib
 from lycheerock._internal.dispatch import ownership
+from lycheerock._internal.dispatch import target_states as target_states_lib
 from lycheerock._internal.entry import server as entry_server
+from lycheerock._internal.membership import directory as directory_lib
 from lycheerock._internal.operator import server as operator_server
+from lycheerock._internal.peers import channels as channels_lib
 from lycheerock._internal.peers import links as links_lib
 from lycheerock._internal.peers import server as peer_server
 from lycheerock._internal.platform import client as client_lib
@@ -33,9 +36,14 @@
         self._settings = settings
         self.incarnation = time.time_ns() // 1_000_000
         self._store = store_lib.BundleStore()
+        self._directory = directory_lib.from_settings(
+            settings, self.incarnation
+        )
+        self._channels = channels_lib.Channels()
+        self._target_states = target_states_lib.TargetStates()
         self._links = {
             peer.instance_id: links_lib.PeerLink(peer.peer_address)
-            for peer in settings.peers
+            for peer in self._directory.peers()
         }
         self._dispatcher = dispatcher_lib.Dispatcher(
             settings.instance_id, self._candidates, self._links
@@ -45,28 +53,21 @@
         table = keys.KeyTable(
             settings.instance_id, self.incarnation, time.monotonic()
         )
-        self._forwarder = forwarding.Forwarder(
-            {p.instance_id: p.peer_address for p in settings.peers}
-        )
+        self._forwarder = forwarding.Forwarder(self._directory, self._channels)
         self._runner = runner_lib.Runner(
             table, self._dispatcher, self._forwarder.forward
         )
 
     def _candidates(self) -> list[ownership.Candidate]:
-        settings = self._settings
-        found = [
-            ownership.Candidate(
-                settings.instance_id, settings.region, settings.zone
-            )
+        reachable = [
+            peer
+            for peer in self._directory.peers()
+            if self._links[peer.instance_id].is_ready
+        ]
+        return [
+            ownership.Candidate(member.instance_id, member.region, member.zone)
+            for member in (self._directory.own, *reachable)
         ]
-        for peer in settings.peers:
-            if self._links[peer.instance_id].is_ready:
-                found.append(
-                    ownership.Candidate(
-                        peer.instance_id, peer.region, peer.zone
-                    )
-                )
-        return found
 
     async def run(self) -> None:
         """Serves until SIGTERM or SIGINT."""
@@ -82,7 +83,7 @@
 
     async def _start(self, stack: contextlib.AsyncExitStack) -> None:
         stack.push_async_callback(self._platform.close)
-        stack.push_async_callback(self._forwarder.close)
+        stack.push_async_callback(self._channels.close)
         stack.push_async_callback(self._dispatcher.close)
         tasks = [asyncio.create_task(watcher.run(self._platform, self._store))]
         for link in self._links.values():
--- a/packages/daemon/src/lycheerock/_internal/peers/links.py
+++ b/packages/daemon/src/lycheerock/_internal/peers/links.py
@@ -8,6 +8,7 @@
 import structlog
 
 from lycheerock._internal.dispatch import work as work_lib
+from lycheerock._internal.peers import channels
 from lycheerock_protocol import peer_pb2
 from lycheerock_protocol import peer_pb2_grpc
 
@@ -15,18 +16,6 @@
 
 FRAME_MESSAGES_MAX = 64
 RECONNECT_DELAY_S = 0.2
-MESSAGE_SIZE_MAX_BYTES = 8 * 1024 * 1024
-
-# The library must never send a request twice, and an instance that returns must
-# be reached within about a second.
-CHANNEL_OPTIONS = (
-    ("grpc.enable_retries", 0),
-    ("grpc.max_send_message_length", MESSAGE_SIZE_MAX_BYTES),
-    ("grpc.max_receive_message_length", MESSAGE_SIZE_MAX_BYTES),
-    ("grpc.max_reconnect_backoff_ms", 1_000),
-    ("grpc.initial_reconnect_backoff_ms", 100),
-    ("grpc.use_local_subchannel_pool", 1),
-)
 
 
 class PeerLink:
@@ -97,7 +86,7 @@
 
     async def _run_stream(self) -> None:
         async with grpc.aio.insecure_channel(
-            self.address, options=CHANNEL_OPTIONS
+            self.address, options=channels.CHANNEL_OPTIONS
         ) as channel:
             await channel.channel_ready()
             stub = peer_pb2_grpc.PeerStub(channel)
--- a/packages/daemon/src/lycheerock/_internal/peers/server.py
+++ b/packages/daemon/src/lycheerock/_internal/peers/server.py
@@ -10,6 +10,7 @@
 import grpc
 
 from lycheerock._internal.dispatch import work as work_lib
+from lycheerock._internal.peers import channels
 from lycheerock._internal.peers import links
 from lycheerock_protocol import peer_pb2
 from lycheerock_protocol import peer_pb2_grpc
@@ -130,11 +131,15 @@
     Returns:
       The running server.
     """
+    size_max_bytes = channels.MESSAGE_SIZE_MAX_BYTES
     server = grpc.aio.server(
         options=(
             ("grpc.so_reuseport", 0),
-            ("grpc.max_receive_message_length", links.MESSAGE_SIZE_MAX_BYTES),
-            ("grpc.max_send_message_length", links.MESSAGE_SIZE_MAX_BYTES),
+            (
+                "grpc.max_receive_message_length",
+                channels.MESSAGE_SIZE_MAX_BYTES,
+            ),
+            ("grpc.max_send_message_length", size_max_bytes),
         )
     )
     peer_pb2_grpc.add_PeerServicer_to_server(servicer, server)
