--- a/packages/daemon/src/lycheerock/_internal/booking/forwarding.py
+++ b/packages/daemon/src/lycheerock/_internal/booking/forwarding.py
@@ -2,17 +2,24 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import time
 
 import grpc
 import msgspec
 
 from lycheerock._internal.booking import keys
+from lycheerock._internal.booking import outcomes
 from lycheerock._internal.booking import runner as runner_lib
 from lycheerock._internal.bundles import store as store_lib
+from lycheerock._internal.entry import access
+from lycheerock._internal.entry import bodies
 from lycheerock._internal.membership import directory as directory_lib
+from lycheerock._internal.membership import members as members_lib
 from lycheerock._internal.peers import channels as channels_lib
+from lycheerock._internal.query import coverage
 from lycheerock_model import answers
+from lycheerock_model import exceptions
 from lycheerock_protocol import peer_pb2
 from lycheerock_protocol import peer_pb2_grpc
 
@@ -41,29 +48,48 @@
           The answer of that instance; unknown if it cannot be reached, since an
           earlier attempt with the same key may have run.
         """
-        owner = self._directory.find(key.instance_id)
-        if owner is None:
-            return runner_lib.unknown(
-                request, "the instance that issued the key is gone"
+        issuer = self._directory.find(key.instance_id)
+        if issuer is None or not _may_be_alive(issuer, key):
+            return outcomes.unknown(
+                request,
+                "the instance that issued the key is gone",
+                exceptions.ErrorKind.KEY,
             )
         time_left_s = request.deadline_s - time.monotonic()
-        message = peer_pb2.RunRequest(
-            request_id=request.request_id,
-            request_key=request.request_key,
-            caller=request.caller,
-            service=request.service.name,
-            shard_key=request.shard_key,
-            time_left_ms=max(0, int(time_left_s * 1000)),
-            payload=msgspec.json.encode(request.payload),
-        )
-        stub = peer_pb2_grpc.PeerStub(self._channels.get(owner.peer_address))
+        time_left_s -= coverage.margin_s(time_left_s, 0)
+        if time_left_s <= 0.0:
+            return outcomes.unknown(request, "the deadline has passed")
+        stub = peer_pb2_grpc.PeerStub(self._channels.get(issuer.peer_address))
+        message = _to_message(request, time_left_s)
         try:
-            reply = await stub.RunKeyed(message, timeout=max(0.0, time_left_s))
+            reply = await stub.RunKeyed(message, timeout=time_left_s)
+            answer = msgspec.json.decode(reply.answer, type=answers.Answer)
         except grpc.aio.AioRpcError as error:
-            return runner_lib.unknown(
-                request, f"forwarding failed ({error.code().name.lower()})"
-            )
-        return msgspec.json.decode(reply.answer, type=answers.Answer)
+            code = error.code().name.lower()
+            return outcomes.unknown(request, f"forwarding failed ({code})")
+        except msgspec.DecodeError:
+            return outcomes.unknown(request, "the issuer's reply is malformed")
+        return dataclasses.replace(answer, request_id=request.request_id)
+
+
+def _may_be_alive(issuer: members_lib.Member, key: keys.RequestKey) -> bool:
+    if issuer.incarnation not in (0, key.incarnation):
+        return False
+    return issuer.state != members_lib.MemberState.DEAD
+
+
+def _to_message(
+    request: runner_lib.RunRequest, time_left_s: float
+) -> peer_pb2.RunRequest:
+    return peer_pb2.RunRequest(
+        request_id=request.request_id,
+        request_key=request.request_key,
+        caller=request.caller,
+        service=request.service.name,
+        shard_key=request.shard_key,
+        time_left_ms=int(time_left_s * 1000),
+        payload=msgspec.json.encode(request.payload),
+    )
 
 
 def serve(
@@ -72,21 +98,49 @@
     """Returns the handler of forwarded requests."""
 
     async def run_keyed(message: peer_pb2.RunRequest) -> peer_pb2.RunReply:
-        now_s = time.monotonic()
-        bundle = store.admit()
-        service = next(s for s in bundle.services if s.name == message.service)
-        request = runner_lib.RunRequest(
-            request_id=message.request_id,
-            request_key=message.request_key,
-            caller=message.caller,
-            service=service,
-            bundle_number=bundle.number,
-            shard_key=message.shard_key,
-            payload=msgspec.json.decode(message.payload),
-            deadline_s=now_s + message.time_left_ms / 1000,
-        )
-        key = keys.parse(message.request_key)
-        answer = await runner.run_here(key, request)
+        try:
+            request = _to_request(message, store)
+        except exceptions.LycheerockError as error:
+            answer = _refuse(message, runner, store.number, error)
+        else:
+            key = keys.parse(message.request_key)
+            answer = (await runner.run_here(key, request)).answer
         return peer_pb2.RunReply(answer=msgspec.json.encode(answer))
 
     return run_keyed
+
+
+def _to_request(
+    message: peer_pb2.RunRequest, store: store_lib.BundleStore
+) -> runner_lib.RunRequest:
+    now_s = time.monotonic()
+    bundle = store.admit()
+    caller = access.find_caller(bundle, message.caller)
+    keys.parse(message.request_key)
+    return runner_lib.RunRequest(
+        request_id=message.request_id,
+        request_key=message.request_key,
+        caller=caller.name,
+        caller_count=len(bundle.callers),
+        service=access.find_service(bundle, caller, message.service),
+        bundle_number=bundle.number,
+        shard_key=message.shard_key,
+        payload=bodies.decode(message.payload, object),
+        deadline_s=now_s + message.time_left_ms / 1000,
+    )
+
+
+def _refuse(
+    message: peer_pb2.RunRequest,
+    runner: runner_lib.Runner,
+    bundle_number: int,
+    error: exceptions.LycheerockError,
+) -> answers.Answer:
+    return answers.Answer(
+        outcome=runner.refusal_outcome(message.request_key),
+        request_id=message.request_id,
+        bundle_number=bundle_number,
+        error=answers.ErrorBody(
+            error.kind, error.problem, error.remedy, error.retry_after_ms
+        ),
+    )
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/booking/outcomes.py
@@ -0,0 +1,114 @@
+"""What a reply, or its absence, proves about a non-idempotent request."""
+
+from typing import Any
+from typing import Protocol
+
+import msgspec
+
+from lycheerock._internal.dispatch import work as work_lib
+from lycheerock_model import answers
+from lycheerock_model import exceptions
+
+
+class Identified(Protocol):
+    """A request with the ids that its answer carries."""
+
+    @property
+    def request_id(self) -> str:
+        """Id of the request."""
+        ...
+
+    @property
+    def bundle_number(self) -> int:
+        """Bundle under which it is served."""
+        ...
+
+
+class RunReply(msgspec.Struct, frozen=True):
+    """Reply body of `POST /v1/run`."""
+
+    status: str
+    attempt_id: str
+    target_state: str = "serving"
+    target_epoch: int = 0
+    state_sequence: int = 0
+    retry_after_ms: int = 0
+    result: Any = None
+
+
+_DECODER = msgspec.json.Decoder(RunReply)
+
+
+def read(result: work_lib.Result, attempt_id: str) -> RunReply | None:
+    """Decodes a reply.
+
+    Returns:
+      The reply, or None if there is none, or it is malformed, or it answers
+      another attempt.
+    """
+    if result.status != work_lib.Status.REPLIED:
+        return None
+    try:
+        reply = _DECODER.decode(result.body)
+    except (msgspec.DecodeError, RecursionError):
+        return None
+    return reply if reply.attempt_id == attempt_id else None
+
+
+def to_answer(
+    request: Identified, result: work_lib.Result, reply: RunReply | None
+) -> answers.Answer:
+    """Builds the answer of a request that was dispatched once."""
+    if work_lib.is_not_run(result.status):
+        problem = result.detail or result.status.value
+        return not_run(request, problem, result.retry_after_ms)
+    if reply is None:
+        return unknown(request, result.detail or "no valid reply")
+    if reply.status in ("shed", "draining"):
+        return not_run(request, "refused by the target", reply.retry_after_ms)
+    if reply.status != "done":
+        return unknown(request, "the target reported an error")
+    return answers.Answer(
+        outcome=answers.Outcome.DONE,
+        request_id=request.request_id,
+        bundle_number=request.bundle_number,
+        results=(reply.result,),
+    )
+
+
+def unknown(
+    request: Identified,
+    problem: str,
+    kind: exceptions.ErrorKind = exceptions.ErrorKind.TARGET,
+) -> answers.Answer:
+    """Builds the answer of a request that may or may not have run."""
+    return answers.Answer(
+        outcome=answers.Outcome.UNKNOWN,
+        request_id=request.request_id,
+        bundle_number=request.bundle_number,
+        error=answers.ErrorBody(
+            kind,
+            problem,
+            "look the booking up before you send it again under a new key",
+        ),
+    )
+
+
+def not_run(
+    request: Identified,
+    problem: str,
+    retry_after_ms: int = 0,
+    kind: exceptions.ErrorKind = exceptions.ErrorKind.OVERLOADED,
+) -> answers.Answer:
+    """Builds the answer of a request that certainly did not run."""
+    return answers.Answer(
+        outcome=answers.Outcome.NOT_RUN,
+        request_id=request.request_id,
+        bundle_number=request.bundle_number,
+        error=answers.ErrorBody(
+            kind,
+            problem,
+            "send it again with the same key after retry_after_ms",
+            retry_after_ms,
+        ),
+    )
--- a/packages/daemon/src/lycheerock/_internal/booking/runner.py
+++ b/packages/daemon/src/lycheerock/_internal/booking/runner.py
@@ -8,14 +8,21 @@
 from typing import Protocol
 
 import msgspec
+import structlog
 
 from lycheerock._internal.booking import keys as keys_lib
-from lycheerock._internal.dispatch import dispatcher as dispatcher_lib
+from lycheerock._internal.booking import outcomes
 from lycheerock._internal.dispatch import work as work_lib
+from lycheerock._internal.query import attempts as attempts_lib
+from lycheerock._internal.query import coverage
+from lycheerock._internal.query import records
+from lycheerock._internal.query import sender as sender_lib
 from lycheerock_model import answers
 from lycheerock_model import bundle as bundle_lib
 from lycheerock_model import exceptions
 
+_LOG = structlog.get_logger()
+
 RUN_PATH = "/v1/run"
 
 
@@ -27,6 +34,7 @@
       request_id: Names instance, incarnation and request.
       request_key: Key from POST /v1/keys.
       caller: The caller.
+      caller_count: Number of callers in the bundle.
       service: The service.
       bundle_number: Bundle that the service was read from.
       shard_key: Chooses the shard.
@@ -37,6 +45,7 @@
     request_id: str
     request_key: str
     caller: str
+    caller_count: int
     service: bundle_lib.Service
     bundle_number: int
     shard_key: str
@@ -44,19 +53,6 @@
     deadline_s: float
 
 
-@dataclasses.dataclass(frozen=True)
-class RunReply:
-    """Reply body of `POST /v1/run`."""
-
-    status: str
-    attempt_id: str
-    retry_after_ms: int = 0
-    result: Any = None
-
-
-_DECODER = msgspec.json.Decoder(RunReply)
-
-
 class Forward(Protocol):
     """Sends a request to the instance that issued its key."""
 
@@ -71,15 +67,15 @@
     def __init__(
         self,
         table: keys_lib.KeyTable,
-        dispatcher: dispatcher_lib.Dispatcher,
+        context: sender_lib.Context,
         forward: Forward,
     ):
         self.table = table
-        self._dispatcher = dispatcher
+        self._context = context
         self._forward = forward
         self._running: set[asyncio.Task[None]] = set()
 
-    async def run(self, request: RunRequest) -> answers.Answer:
+    async def run(self, request: RunRequest) -> records.Completed:
         """Runs a request, here or on the instance that issued its key.
 
         Args:
@@ -88,80 +84,233 @@
         Returns:
           The answer. A second call with the same key gets the answer of the
           first.
+
+        Raises:
+          RequestKeyError: The key is malformed.
         """
+        start_s = time.monotonic()
         key = keys_lib.parse(request.request_key)
-        if not self.table.issued_here(key):
-            return await self._forward(key, request)
-        return await self.run_here(key, request)
+        if self.table.issued_here(key):
+            return await self.run_here(key, request)
+        answer = await self._forward(key, request)
+        return records.Completed(answer, start_s)
 
     async def run_here(
         self, key: keys_lib.RequestKey, request: RunRequest
-    ) -> answers.Answer:
+    ) -> records.Completed:
         """Runs a request whose key this incarnation must have issued."""
         now_s = time.monotonic()
+        attempts: list[attempts_lib.Attempt] = []
+        answer = self._refuse_key(key, request.caller, request)
+        if answer is None:
+            entry = self.table.find(str(key)) or self._start(
+                key, request, attempts, now_s
+            )
+            if isinstance(entry, answers.Answer):
+                answer = entry
+            elif entry.content != _content(request):
+                answer = outcomes.unknown(
+                    request,
+                    "the key was used for another request",
+                    exceptions.ErrorKind.KEY,
+                )
+            else:
+                answer = await _wait(request, entry)
+        return records.Completed(answer, now_s, attempts, len(attempts))
+
+    def _refuse_key(
+        self,
+        key: keys_lib.RequestKey,
+        caller: str,
+        request: outcomes.Identified,
+    ) -> answers.Answer | None:
         if not self.table.issued_here(key):
-            return unknown(request, "the key is of another incarnation")
-        outcome = self.table.find(str(key))
-        if outcome is None:
-            if self.table.is_expired(key, now_s):
-                return unknown(request, "the key has expired")
-            outcome = asyncio.get_running_loop().create_future()
-            if not self.table.claim(str(key), outcome, now_s):
-                return not_run(request, "the key table is full", 1_000)
-            task = asyncio.create_task(self._execute(key, request, outcome))
-            self._running.add(task)
-            task.add_done_callback(self._running.discard)
-        return await self._wait(request, outcome)
-
-    async def _wait(
-        self, request: RunRequest, outcome: asyncio.Future[answers.Answer]
-    ) -> answers.Answer:
-        time_left_s = max(0.0, request.deadline_s - time.monotonic())
-        done, _ = await asyncio.wait((outcome,), timeout=time_left_s)
-        if not done:
-            return unknown(request, "no outcome before the deadline")
-        return dataclasses.replace(
-            outcome.result(), request_id=request.request_id
+            problem = "the instance that issued the key has restarted"
+        elif not self.table.belongs_to(key, caller):
+            problem = "the key was not issued to this caller"
+        else:
+            return None
+        return outcomes.unknown(request, problem, exceptions.ErrorKind.KEY)
+
+    def refusal_outcome(self, request_key: str) -> answers.Outcome:
+        """Returns the outcome of a request that is refused.
+
+        It is not_run only if nothing can have run with the key, since the
+        request may be the repetition of one that ran.
+        """
+        try:
+            key = keys_lib.parse(request_key)
+        except exceptions.RequestKeyError:
+            return answers.Outcome.NOT_RUN
+        if self.table.is_unused(key, time.monotonic()):
+            return answers.Outcome.NOT_RUN
+        return answers.Outcome.UNKNOWN
+
+    def _start(
+        self,
+        key: keys_lib.RequestKey,
+        request: RunRequest,
+        attempts: list[attempts_lib.Attempt],
+        now_s: float,
+    ) -> keys_lib.Entry | answers.Answer:
+        if self.table.is_expired(key, now_s):
+            return outcomes.unknown(
+                request, "the key has expired", exceptions.ErrorKind.KEY
+            )
+        entry = self.table.claim(
+            str(key),
+            request.caller,
+            _content(request),
+            request.caller_count,
+            now_s,
         )
+        if entry is None:
+            return outcomes.not_run(
+                request, "the caller's share of the key table is full", 1_000
+            )
+        task = asyncio.create_task(self._execute(str(key), request, attempts))
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+        return entry
 
     async def _execute(
         self,
-        key: keys_lib.RequestKey,
+        key: str,
         request: RunRequest,
-        outcome: asyncio.Future[answers.Answer],
+        attempts: list[attempts_lib.Attempt],
     ) -> None:
-        answer = unknown(request, "the instance failed while it ran")
+        answer = outcomes.unknown(request, "the instance failed while it ran")
+        result_size_bytes = 0
         try:
-            answer = await self._dispatch(request)
+            answer, result_size_bytes = await self._dispatch(request, attempts)
+        except Exception as error:
+            _LOG.exception(
+                "booking_failed",
+                request_id=request.request_id,
+                error=type(error).__name__,
+            )
         finally:
-            if answer.outcome == answers.Outcome.NOT_RUN:
-                self.table.release(str(key))
-            outcome.set_result(answer)
+            self.table.settle(key, answer, result_size_bytes)
 
-    async def _dispatch(self, request: RunRequest) -> answers.Answer:
+    async def _dispatch(
+        self, request: RunRequest, attempts: list[attempts_lib.Attempt]
+    ) -> tuple[answers.Answer, int]:
         shard = choose_shard(request.service, request.shard_key)
-        attempt_id = f"{request.request_id}.1"
-        body = msgspec.json.encode(
-            {
-                "service": request.service.name,
-                "shard": shard.shard_id,
-                "attempt_id": attempt_id,
-                "request_key": request.request_key,
-                "payload": request.payload,
-            }
-        )
-        work = work_lib.Work(
-            attempt_id=attempt_id,
-            caller=request.caller,
-            service=request.service.name,
-            target_id=shard.target_ids[0],
-            path=RUN_PATH,
-            body=body,
-            deadline_s=request.deadline_s,
-            idempotent=False,
+        now_s = time.monotonic()
+        target_id = self._choose_target(shard, now_s)
+        if target_id is None:
+            problem = "every replica of the shard is leaving"
+            return outcomes.not_run(request, problem, 1_000), 0
+        attempt = attempts_lib.Attempt(
+            f"{request.request_id}.1",
+            attempts_lib.ShardProgress(shard),
+            target_id,
+            answers.Snapshot(0, 0),
+            attempts_lib.AttemptKind.FIRST,
+            now_s,
         )
-        result = await self._dispatcher.submit(work)
-        return _to_answer(request, attempt_id, result)
+        work = _build_work(request, shard, attempt)
+        # A process that was frozen must not send a request whose caller has
+        # given it up.
+        if time.monotonic() >= request.deadline_s:
+            return outcomes.not_run(request, "the deadline has passed"), 0
+        attempts.append(attempt)
+        tracker = self._context.states.tracker
+        tracker.started(target_id, now_s)
+        result = await self._context.dispatcher.submit(work)
+        attempt.elapsed_s = time.monotonic() - now_s
+        reply = outcomes.read(result, attempt.attempt_id)
+        self._learn(attempt, result, reply)
+        return outcomes.to_answer(request, result, reply), len(result.body)
+
+    def _choose_target(
+        self, shard: bundle_lib.Shard, now_s: float
+    ) -> str | None:
+        candidates = [
+            target_id
+            for target_id in shard.target_ids
+            if not self._context.target_states.is_leaving(target_id)
+        ]
+        if not candidates:
+            return None
+        return self._context.states.tracker.choose(candidates, now_s)
+
+    def _learn(
+        self,
+        attempt: attempts_lib.Attempt,
+        result: work_lib.Result,
+        reply: outcomes.RunReply | None,
+    ) -> None:
+        tracker = self._context.states.tracker
+        now_s = attempt.start_s + attempt.elapsed_s
+        if reply is None:
+            attempt.status = result.status.value
+            if result.status == work_lib.Status.REPLIED:
+                attempt.status = "malformed"
+            if work_lib.is_not_run(result.status):
+                tracker.refused(attempt.target_id, result.retry_after_ms, now_s)
+            else:
+                tracker.failed(attempt.target_id)
+            return
+        attempt.status = reply.status
+        if reply.target_epoch:
+            sender_lib.report_state(
+                self._context.target_states,
+                attempt.target_id,
+                reply.status,
+                reply,
+            )
+        if reply.status == "done":
+            tracker.finished(attempt.target_id, attempt.elapsed_s, now_s)
+        else:
+            tracker.refused(attempt.target_id, reply.retry_after_ms, now_s)
+
+
+async def _wait(request: RunRequest, entry: keys_lib.Entry) -> answers.Answer:
+    time_left_s = request.deadline_s - time.monotonic()
+    time_left_s -= coverage.margin_s(time_left_s, 0)
+    try:
+        async with asyncio.timeout(max(0.0, time_left_s)):
+            await entry.done.wait()
+    except TimeoutError:
+        if entry.answer is None:
+            return outcomes.unknown(request, "no outcome before the deadline")
+    assert entry.answer is not None
+    return dataclasses.replace(entry.answer, request_id=request.request_id)
+
+
+def _content(request: RunRequest) -> bytes:
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (request.service.name, request.shard_key):
+        digest.update(msgspec.json.encode(part))
+    digest.update(msgspec.json.encode(request.payload))
+    return digest.digest()
+
+
+def _build_work(
+    request: RunRequest,
+    shard: bundle_lib.Shard,
+    attempt: attempts_lib.Attempt,
+) -> work_lib.Work:
+    body = msgspec.json.encode(
+        {
+            "service": request.service.name,
+            "shard": shard.shard_id,
+            "attempt_id": attempt.attempt_id,
+            "request_key": request.request_key,
+            "payload": request.payload,
+        }
+    )
+    return work_lib.Work(
+        attempt_id=attempt.attempt_id,
+        caller=request.caller,
+        service=request.service.name,
+        target_id=attempt.target_id,
+        path=RUN_PATH,
+        body=body,
+        deadline_s=request.deadline_s,
+        idempotent=False,
+    )
 
 
 def choose_shard(
@@ -172,75 +321,3 @@
     digest = hashlib.blake2b(shard_key.encode(), digest_size=8).digest()
     index = int.from_bytes(digest, "big") % len(newest.shards)
     return newest.shards[index]
-
-
-def _to_answer(
-    request: RunRequest, attempt_id: str, result: work_lib.Result
-) -> answers.Answer:
-    if work_lib.is_not_run(result.status):
-        return not_run(
-            request, result.detail or result.status, result.retry_after_ms
-        )
-    reply = _decode(result.body, attempt_id)
-    if result.status != work_lib.Status.REPLIED or reply is None:
-        return unknown(request, result.detail or "no valid reply")
-    if reply.status in ("shed", "draining"):
-        return not_run(request, "refused by the target", reply.retry_after_ms)
-    if reply.status != "done":
-        return unknown(request, "the target reported an error")
-    return answers.Answer(
-        outcome=answers.Outcome.DONE,
-        request_id=request.request_id,
-        bundle_number=request.bundle_number,
-        results=(reply.result,),
-    )
-
-
-def _decode(body: bytes, attempt_id: str) -> RunReply | None:
-    try:
-        reply = _DECODER.decode(body)
-    except msgspec.DecodeError:
-        return None
-    return reply if reply.attempt_id == attempt_id else None
-
-
-def unknown(request: RunRequest, problem: str) -> answers.Answer:
-    """Builds the answer of a request that may or may not have run."""
-    return _failed(
-        request,
-        answers.Outcome.UNKNOWN,
-        answers.ErrorBody(
-            exceptions.ErrorKind.TARGET,
-            problem,
-            "look the booking up before you send it again under a new key",
-        ),
-    )
-
-
-def not_run(
-    request: RunRequest, problem: str, retry_after_ms: int = 0
-) -> answers.Answer:
-    """Builds the answer of a request that certainly did not run."""
-    return _failed(
-        request,
-        answers.Outcome.NOT_RUN,
-        answers.ErrorBody(
-            exceptions.ErrorKind.OVERLOADED,
-            problem,
-            "send it again with the same key after retry_after_ms",
-            retry_after_ms,
-        ),
-    )
-
-
-def _failed(
-    request: RunRequest,
-    outcome: answers.Outcome,
-    error: answers.ErrorBody,
-) -> answers.Answer:
-    return answers.Answer(
-        outcome=outcome,
-        request_id=request.request_id,
-        bundle_number=request.bundle_number,
-        error=error,
-    )
--- a/packages/daemon/src/lycheerock/_internal/entry/access.py
+++ b/packages/daemon/src/lycheerock/_internal/entry/access.py
@@ -4,9 +4,12 @@
 import hashlib
 import hmac
 
+from lycheerock._internal.booking import keys
 from lycheerock_model import bundle as bundle_lib
 from lycheerock_model import exceptions
 
+_DIGITS_MAX = 12
+
 
 def authenticate(
     bundle: bundle_lib.Bundle, headers: Mapping[str, str]
@@ -24,7 +27,9 @@
       UnauthenticatedError: No caller has this token.
     """
     scheme, _, token = headers.get("Authorization", "").partition(" ")
-    digest = hashlib.sha256(token.encode()).hexdigest()
+    # Headers may hold bytes that are not UTF-8.
+    token_bytes = token.encode("utf-8", "surrogateescape")
+    digest = hashlib.sha256(token_bytes).hexdigest()
     if scheme == "Bearer":
         for caller in bundle.callers:
             if hmac.compare_digest(caller.token_sha256, digest):
@@ -35,6 +40,28 @@
     )
 
 
+def find_caller(bundle: bundle_lib.Bundle, name: str) -> bundle_lib.Caller:
+    """Finds a caller that another instance has authenticated.
+
+    Args:
+      bundle: The bundle in force.
+      name: Name of the caller.
+
+    Returns:
+      The caller.
+
+    Raises:
+      ForbiddenError: The bundle has no such caller.
+    """
+    for caller in bundle.callers:
+        if caller.name == name:
+            return caller
+    raise exceptions.ForbiddenError(
+        f"no caller {name[:64]!r} in bundle {bundle.number}",
+        "ask an operator to add the caller",
+    )
+
+
 def find_service(
     bundle: bundle_lib.Bundle, caller: bundle_lib.Caller, name: str
 ) -> bundle_lib.Service:
@@ -54,7 +81,7 @@
     """
     if name not in caller.service_names:
         raise exceptions.ForbiddenError(
-            f"caller {caller.name} may not reach service {name!r}",
+            f"caller {caller.name} may not reach service {name[:64]!r}",
             "ask an operator to add the service to this caller",
         )
     for service in bundle.services:
@@ -84,10 +111,39 @@
     text = headers.get("X-Deadline-Ms")
     if text is None:
         return service.deadline_default_ms
-    value = int(text) if text.isascii() and text.isdecimal() else 0
+    value = _to_int(text)
     if not 1 <= value <= service.deadline_max_ms:
         raise exceptions.BadRequestError(
             f"X-Deadline-Ms {text[:20]!r} is out of range",
             f"send 1 to {service.deadline_max_ms} milliseconds",
         )
     return value
+
+
+def read_count(text: str) -> int:
+    """Reads the number of keys that a caller wants.
+
+    Args:
+      text: Value of the count parameter.
+
+    Returns:
+      The number.
+
+    Raises:
+      BadRequestError: It is not a number in the range.
+    """
+    count = _to_int(text)
+    if not 1 <= count <= keys.KEYS_PER_REQUEST_MAX:
+        raise exceptions.BadRequestError(
+            f"count {text[:20]!r} is out of range",
+            f"ask for 1 to {keys.KEYS_PER_REQUEST_MAX} keys",
+        )
+    return count
+
+
+def _to_int(text: str) -> int:
+    """Returns the value of a short decimal number, or 0."""
+    # int() raises an error of its own on a text of several thousand digits.
+    if len(text) <= _DIGITS_MAX and text.isascii() and text.isdecimal():
+        return int(text)
+    return 0
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/entry/bodies.py
@@ -0,0 +1,94 @@
+"""Reads request bodies in bounded memory and time."""
+
+import asyncio
+import time
+from typing import Any
+from typing import TypeVar
+
+import aiohttp.web
+import msgspec
+
+from lycheerock_model import exceptions
+
+BODY_SIZE_MAX_BYTES = 262_144
+
+
+class SearchBody(msgspec.Struct, frozen=True):
+    """Body of a search; the query stays as the caller wrote it."""
+
+    query: msgspec.Raw
+
+
+class RunBody(msgspec.Struct, frozen=True):
+    """Body of a non-idempotent request."""
+
+    shard_key: str
+    payload: Any = None
+
+
+T = TypeVar("T")
+
+
+def expected_size_bytes(request: aiohttp.web.Request) -> int:
+    """Returns the most that the body can take in memory."""
+    length = request.content_length
+    if length is None:
+        return BODY_SIZE_MAX_BYTES if request.body_exists else 0
+    return min(length, BODY_SIZE_MAX_BYTES)
+
+
+async def read(
+    request: aiohttp.web.Request, body_type: type[T], deadline_s: float
+) -> T:
+    """Reads and checks a JSON body.
+
+    Args:
+      request: The request.
+      body_type: Type of the body.
+      deadline_s: Monotonic time by which the body must have arrived.
+
+    Returns:
+      The body.
+
+    Raises:
+      BadRequestError: It is not JSON or not of the type.
+      BodyTooLargeError: It is over the limit.
+      DeadlineError: It did not arrive in time.
+    """
+    too_large = exceptions.BodyTooLargeError(
+        f"the body is over {BODY_SIZE_MAX_BYTES} bytes", "send a smaller body"
+    )
+    if (request.content_length or 0) > BODY_SIZE_MAX_BYTES:
+        raise too_large
+    try:
+        async with asyncio.timeout(max(0.0, deadline_s - time.monotonic())):
+            text = await request.read()
+    except aiohttp.web.HTTPRequestEntityTooLarge as error:
+        raise too_large from error
+    except TimeoutError as error:
+        raise exceptions.DeadlineError(
+            "the body did not arrive before the deadline",
+            "send the body at once or give a longer X-Deadline-Ms",
+        ) from error
+    return decode(text, body_type)
+
+
+def decode(text: bytes, body_type: type[T]) -> T:
+    """Decodes a JSON body.
+
+    Raises:
+      BadRequestError: It is not JSON or not of the type.
+    """
+    try:
+        # A part that is kept as text is not checked by the JSON decoder.
+        text.decode()
+        return msgspec.json.decode(text, type=body_type)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise exceptions.BadRequestError(
+            f"the body cannot be read ({str(error)[:200]})",
+            "send a JSON object with the fields of this path",
+        ) from error
+    except RecursionError as error:
+        raise exceptions.BadRequestError(
+            "the body is nested too deeply", "send a flatter JSON value"
+        ) from error
--- a/packages/daemon/src/lycheerock/_internal/entry/server.py
+++ b/packages/daemon/src/lycheerock/_internal/entry/server.py
@@ -5,195 +5,278 @@
 import dataclasses
 import itertools
 import time
-from typing import Any
 
 import aiohttp.web
-import msgspec
+import structlog
 
 from lycheerock._internal.booking import keys
 from lycheerock._internal.booking import runner as runner_lib
 from lycheerock._internal.bundles import store as store_lib
-from lycheerock._internal.dispatch import dispatcher as dispatcher_lib
 from lycheerock._internal.entry import access
+from lycheerock._internal.entry import admission as admission_lib
+from lycheerock._internal.entry import bodies
+from lycheerock._internal.entry import responses
+from lycheerock._internal.query import metrics as metrics_lib
+from lycheerock._internal.query import records as records_lib
 from lycheerock._internal.query import search as search_lib
+from lycheerock._internal.query import sender as sender_lib
 from lycheerock_model import answers
 from lycheerock_model import bundle as bundle_lib
 from lycheerock_model import exceptions
 
-BODY_SIZE_MAX_BYTES = 262_144
+_LOG = structlog.get_logger()
 
-_HTTP_STATUS = {
-    exceptions.ErrorKind.BAD_REQUEST: 400,
-    exceptions.ErrorKind.KEY: 400,
-    exceptions.ErrorKind.UNAUTHENTICATED: 401,
-    exceptions.ErrorKind.FORBIDDEN: 403,
-    exceptions.ErrorKind.UNKNOWN_SERVICE: 404,
-    exceptions.ErrorKind.BODY_TOO_LARGE: 413,
-    exceptions.ErrorKind.OVERLOADED: 429,
-    exceptions.ErrorKind.NOT_ADMITTING: 503,
-}
+BODY_SIZE_MAX_BYTES = bodies.BODY_SIZE_MAX_BYTES
 
+# A header that is sent twice may be read differently by a proxy on the way.
+_SINGLE_HEADERS = ("Authorization", "X-Deadline-Ms", "X-Request-Key")
 
-@dataclasses.dataclass(frozen=True)
-class _Admitted:
-    caller: bundle_lib.Caller
-    bundle: bundle_lib.Bundle
+
+@dataclasses.dataclass
+class _Context:
+    """One request of a caller and what is known of it so far."""
+
+    http: aiohttp.web.Request
     request_id: str
     received_s: float
+    caller: str = ""
+    service: str = ""
+    bundle: bundle_lib.Bundle | None = None
+
+
+_Serve = Callable[
+    [_Context, bundle_lib.Bundle, bundle_lib.Caller],
+    Awaitable[records_lib.Completed],
+]
+_Handler = Callable[
+    [aiohttp.web.Request], Awaitable[aiohttp.web.StreamResponse]
+]
 
 
 class EntryServer:
     """Serves callers."""
 
-    def __init__(
+    def __init__(  # noqa: PLR0913
         self,
         request_id_prefix: str,
         store: store_lib.BundleStore,
-        dispatcher: dispatcher_lib.Dispatcher,
+        searcher: search_lib.Searcher,
         runner: runner_lib.Runner,
+        *,
+        records: records_lib.Records | None = None,
+        metrics: metrics_lib.RequestMetrics | None = None,
+        admission: admission_lib.Admission | None = None,
     ):
         self._prefix = request_id_prefix
         self._ids = itertools.count(1)
         self._store = store
-        self._dispatcher = dispatcher
+        self._searcher = searcher
         self._runner = runner
+        self._records = records or records_lib.Records()
+        self._metrics = metrics or metrics_lib.NoMetrics()
+        self._admission = admission or admission_lib.Admission()
 
     def build(self) -> aiohttp.web.Application:
         """Returns the aiohttp application."""
-        app = aiohttp.web.Application(client_max_size=BODY_SIZE_MAX_BYTES)
+        app = aiohttp.web.Application(
+            client_max_size=BODY_SIZE_MAX_BYTES, middlewares=[self._guard]
+        )
         app.router.add_post(
             "/v1/services/{service}/search", self._handler(self._search)
         )
         app.router.add_post(
             "/v1/services/{service}/run", self._handler(self._run)
         )
-        app.router.add_post("/v1/keys", self._handler(self._issue_keys))
+        app.router.add_post("/v1/keys", self._issue_keys)
         return app
 
-    def _handler(
-        self,
-        serve: Callable[
-            [aiohttp.web.Request, _Admitted], Awaitable[aiohttp.web.Response]
-        ],
-    ) -> Callable[[aiohttp.web.Request], Awaitable[aiohttp.web.Response]]:
+    def _next_id(self) -> str:
+        return f"{self._prefix}.{next(self._ids):x}"
+
+    @aiohttp.web.middleware
+    async def _guard(
+        self, request: aiohttp.web.Request, handler: _Handler
+    ) -> aiohttp.web.StreamResponse:
+        """Answers unknown paths and methods like any other refusal."""
+        try:
+            return await handler(request)
+        except (
+            aiohttp.web.HTTPNotFound,
+            aiohttp.web.HTTPMethodNotAllowed,
+        ) as error:
+            typed = exceptions.BadRequestError(
+                f"there is no {request.method[:10]} {request.path[:64]!r}",
+                "POST to /v1/services/{service}/search, "
+                "/v1/services/{service}/run or /v1/keys",
+            )
+            answer = responses.error_answer(
+                self._next_id(),
+                self._store.number,
+                answers.Outcome.NOT_RUN,
+                typed,
+            )
+            return responses.refuse(answer, error.status)
+
+    def _handler(self, serve: _Serve) -> _Handler:
         async def handle(request: aiohttp.web.Request) -> aiohttp.web.Response:
-            request_id = f"{self._prefix}.{next(self._ids):x}"
-            received_s = time.monotonic()
-            try:
-                bundle = self._store.admit()
-                caller = access.authenticate(bundle, request.headers)
-                admitted = _Admitted(caller, bundle, request_id, received_s)
-                return await serve(request, admitted)
-            except exceptions.LycheerockError as error:
-                return _refuse(request_id, self._store.number, error)
+            context = _Context(request, self._next_id(), time.monotonic())
+            completed, refused = await self._complete(context, serve)
+            self._note(context, completed)
+            if refused:
+                return responses.refuse(completed.answer)
+            return responses.respond(completed.answer)
 
         return handle
 
-    async def _search(
-        self, request: aiohttp.web.Request, admitted: _Admitted
-    ) -> aiohttp.web.Response:
-        service = access.find_service(
-            admitted.bundle, admitted.caller, request.match_info["service"]
+    async def _complete(
+        self, context: _Context, serve: _Serve
+    ) -> tuple[records_lib.Completed, bool]:
+        try:
+            size_bytes = bodies.expected_size_bytes(context.http)
+            with self._admission.enter(size_bytes):
+                bundle, caller = self._authenticate(context)
+                return await serve(context, bundle, caller), False
+        except exceptions.LycheerockError as error:
+            outcome = self._refusal_outcome(context)
+            return self._failed(context, outcome, error), True
+        except Exception as error:
+            typed = _internal_error(context.request_id, error)
+            outcome = answers.Outcome.UNKNOWN
+            return self._failed(context, outcome, typed), True
+
+    def _authenticate(
+        self, context: _Context
+    ) -> tuple[bundle_lib.Bundle, bundle_lib.Caller]:
+        headers = context.http.headers
+        for name in _SINGLE_HEADERS:
+            if len(headers.getall(name, ())) > 1:
+                raise exceptions.BadRequestError(
+                    f"the header {name} appears more than once",
+                    "send it once",
+                )
+        bundle = self._store.admit()
+        caller = access.authenticate(bundle, headers)
+        context.bundle = bundle
+        context.caller = caller.name
+        return bundle, caller
+
+    def _refusal_outcome(self, context: _Context) -> answers.Outcome:
+        key = context.http.headers.get("X-Request-Key", "")
+        if not key:
+            return answers.Outcome.NOT_RUN
+        return self._runner.refusal_outcome(key)
+
+    def _failed(
+        self,
+        context: _Context,
+        outcome: answers.Outcome,
+        error: exceptions.LycheerockError,
+    ) -> records_lib.Completed:
+        answer = responses.error_answer(
+            context.request_id, self._store.number, outcome, error
         )
-        deadline_ms = access.read_deadline_ms(service, request.headers)
-        body = await _read_json(request)
-        answer = await search_lib.run(
-            search_lib.SearchRequest(
-                request_id=admitted.request_id,
-                caller=admitted.caller.name,
+        return records_lib.Completed(answer, context.received_s)
+
+    def _note(
+        self, context: _Context, completed: records_lib.Completed
+    ) -> None:
+        elapsed_s = time.monotonic() - context.received_s
+        answer = completed.answer
+        # Requests without a known caller must not push others out of the ring.
+        if context.caller:
+            self._records.add(
+                context.caller, context.service, elapsed_s, completed
+            )
+        self._metrics.observe_request(
+            service=context.service,
+            caller=context.caller,
+            outcome=answer.outcome.value,
+            elapsed_s=elapsed_s,
+            covered_count=len(answer.covered),
+            lacking_count=len(answer.lacking),
+            first_attempt_count=completed.first_attempt_count,
+            extra_attempt_count=completed.extra_attempt_count,
+        )
+
+    async def _search(
+        self,
+        context: _Context,
+        bundle: bundle_lib.Bundle,
+        caller: bundle_lib.Caller,
+    ) -> records_lib.Completed:
+        service, deadline_s = _read_head(context, bundle, caller)
+        body = await bodies.read(context.http, bodies.SearchBody, deadline_s)
+        return await self._searcher.run(
+            sender_lib.SearchRequest(
+                request_id=context.request_id,
+                caller=caller.name,
                 service=service,
-                bundle_number=admitted.bundle.number,
-                query=body.get("query"),
-                deadline_s=admitted.received_s + deadline_ms / 1000,
-            ),
-            self._dispatcher,
+                bundle_number=bundle.number,
+                query=body.query,
+                deadline_s=deadline_s,
+            )
         )
-        return _respond(answer)
 
     async def _run(
-        self, request: aiohttp.web.Request, admitted: _Admitted
-    ) -> aiohttp.web.Response:
-        service = access.find_service(
-            admitted.bundle, admitted.caller, request.match_info["service"]
-        )
-        deadline_ms = access.read_deadline_ms(service, request.headers)
-        body = await _read_json(request)
-        shard_key = body.get("shard_key")
-        if not isinstance(shard_key, str):
-            raise exceptions.BadRequestError(
-                "shard_key is not a string", "send shard_key as a string"
-            )
-        answer = await self._runner.run(
+        self,
+        context: _Context,
+        bundle: bundle_lib.Bundle,
+        caller: bundle_lib.Caller,
+    ) -> records_lib.Completed:
+        service, deadline_s = _read_head(context, bundle, caller)
+        key = context.http.headers.get("X-Request-Key", "")
+        keys.parse(key)
+        body = await bodies.read(context.http, bodies.RunBody, deadline_s)
+        return await self._runner.run(
             runner_lib.RunRequest(
-                request_id=admitted.request_id,
-                request_key=request.headers.get("X-Request-Key", ""),
-                caller=admitted.caller.name,
+                request_id=context.request_id,
+                request_key=key,
+                caller=caller.name,
+                caller_count=len(bundle.callers),
                 service=service,
-                bundle_number=admitted.bundle.number,
-                shard_key=shard_key,
-                payload=body.get("payload"),
-                deadline_s=admitted.received_s + deadline_ms / 1000,
+                bundle_number=bundle.number,
+                shard_key=body.shard_key,
+                payload=body.payload,
+                deadline_s=deadline_s,
             )
         )
-        return _respond(answer)
 
     async def _issue_keys(
-        self, request: aiohttp.web.Request, admitted: _Admitted
+        self, request: aiohttp.web.Request
     ) -> aiohttp.web.Response:
-        text = request.query.get("count", "1")
-        count = int(text) if text.isascii() and text.isdecimal() else 0
-        if not 1 <= count <= keys.KEYS_PER_REQUEST_MAX:
-            raise exceptions.BadRequestError(
-                "count is out of range",
-                f"ask for 1 to {keys.KEYS_PER_REQUEST_MAX} keys",
+        context = _Context(request, self._next_id(), time.monotonic())
+        try:
+            _, caller = self._authenticate(context)
+            count = access.read_count(request.query.get("count", "1"))
+        except exceptions.LycheerockError as error:
+            outcome = answers.Outcome.NOT_RUN
+            return responses.refuse(
+                self._failed(context, outcome, error).answer
             )
-        issued = self._runner.table.issue(count, admitted.received_s)
-        return aiohttp.web.json_response({"keys": issued})
-
-
-async def _read_json(request: aiohttp.web.Request) -> dict[str, Any]:
-    try:
-        body = msgspec.json.decode(await request.read())
-    except aiohttp.web.HTTPRequestEntityTooLarge as error:
-        raise exceptions.BodyTooLargeError(
-            f"the body is over {BODY_SIZE_MAX_BYTES} bytes",
-            "send a smaller query",
-        ) from error
-    except msgspec.DecodeError as error:
-        raise exceptions.BadRequestError(
-            f"the body is not JSON ({error})", "send a JSON object"
-        ) from error
-    if not isinstance(body, dict):
-        raise exceptions.BadRequestError(
-            "the body is not a JSON object", "send a JSON object"
+        issued = self._runner.table.issue(
+            count, caller.name, context.received_s
         )
-    return body
+        return responses.to_json({"keys": issued})
 
 
-def _respond(answer: answers.Answer) -> aiohttp.web.Response:
-    status = 200
-    if answer.error is not None and answer.outcome != answers.Outcome.DONE:
-        status = 503
-    return aiohttp.web.Response(
-        body=msgspec.json.encode(answer),
-        content_type="application/json",
-        status=status,
+def _read_head(
+    context: _Context, bundle: bundle_lib.Bundle, caller: bundle_lib.Caller
+) -> tuple[bundle_lib.Service, float]:
+    service = access.find_service(
+        bundle, caller, context.http.match_info["service"]
     )
+    context.service = service.name
+    deadline_ms = access.read_deadline_ms(service, context.http.headers)
+    return service, context.received_s + deadline_ms / 1000
 
 
-def _refuse(
-    request_id: str, bundle_number: int, error: exceptions.LycheerockError
-) -> aiohttp.web.Response:
-    answer = answers.Answer(
-        outcome=answers.Outcome.NOT_RUN,
-        request_id=request_id,
-        bundle_number=bundle_number,
-        error=answers.ErrorBody(
-            error.kind, error.problem, error.remedy, error.retry_after_ms
-        ),
+def _internal_error(
+    request_id: str, error: Exception
+) -> exceptions.LycheerockError:
+    _LOG.exception(
+        "request_failed", request_id=request_id, error=type(error).__name__
     )
-    return aiohttp.web.Response(
-        body=msgspec.json.encode(answer),
-        content_type="application/json",
-        status=_HTTP_STATUS.get(error.kind, 500),
+    return exceptions.LycheerockError(
+        "the instance failed to serve the request",
+        "report the request id to an operator; a search may be sent again",
     )
--- a/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
@@ -24,6 +24,10 @@
 from lycheerock._internal.peers import links as links_lib
 from lycheerock._internal.peers import server as peer_server
 from lycheerock._internal.platform import client as client_lib
+from lycheerock._internal.query import records as records_lib
+from lycheerock._internal.query import search as search_lib
+from lycheerock._internal.query import sender as sender_lib
+from lycheerock._internal.query import service_states
 from lycheerock_model import settings as settings_lib
 
 _LOG = structlog.get_logger()
@@ -49,13 +53,20 @@
             settings.instance_id, self._candidates, self._links
         )
         self._store.subscribe(self._dispatcher.apply)
+        states = service_states.ServiceStates()
+        self._store.subscribe(states.apply)
+        context = sender_lib.Context(
+            self._dispatcher, self._target_states, states
+        )
+        self._searcher = search_lib.Searcher(context)
+        self._records = records_lib.Records()
         self._platform = client_lib.PlatformClient(settings.platform_address)
         table = keys.KeyTable(
             settings.instance_id, self.incarnation, time.monotonic()
         )
         self._forwarder = forwarding.Forwarder(self._directory, self._channels)
         self._runner = runner_lib.Runner(
-            table, self._dispatcher, self._forwarder.forward
+            table, context, self._forwarder.forward
         )
 
     def _candidates(self) -> list[ownership.Candidate]:
@@ -95,8 +106,9 @@
         entry = entry_server.EntryServer(
             f"{self._settings.instance_id}.{self.incarnation:x}",
             self._store,
-            self._dispatcher,
+            self._searcher,
             self._runner,
+            records=self._records,
         )
         operator = operator_server.OperatorServer(
             self._settings.operator_token.get_secret_value(),
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/query/sender.py
@@ -0,0 +1,371 @@
+"""Sends the shard requests of one search and reads their replies."""
+
+import asyncio
+import collections
+import dataclasses
+import functools
+import time
+from typing import Any
+from typing import Protocol
+
+from lycheerock._internal.dispatch import target_states as target_states_lib
+from lycheerock._internal.dispatch import work as work_lib
+from lycheerock._internal.query import attempts as attempts_lib
+from lycheerock._internal.query import replies as replies_lib
+from lycheerock._internal.query import service_states
+from lycheerock._internal.query import shard_requests
+from lycheerock_model import answers
+from lycheerock_model import bundle as bundle_lib
+
+SHARD_PATH = "/v1/shard"
+
+_Kind = attempts_lib.AttemptKind
+_LEFT = "draining"
+
+
+class Dispatch(Protocol):
+    """Sends one request to one target."""
+
+    def submit(self, work: work_lib.Work) -> asyncio.Future[work_lib.Result]:
+        """Sends a request; cancelling the future gives it up."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True)
+class SearchRequest:
+    """One search of a caller.
+
+    Attributes:
+      request_id: Names instance, incarnation and request.
+      caller: The caller.
+      service: The service.
+      bundle_number: Bundle that the service was read from.
+      query: The caller's query, any JSON value.
+      deadline_s: Monotonic time of the deadline.
+    """
+
+    request_id: str
+    caller: str
+    service: bundle_lib.Service
+    bundle_number: int
+    query: Any
+    deadline_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Context:
+    """What searches and bookings of an instance share.
+
+    Attributes:
+      dispatcher: Sends one request to one target.
+      target_states: Which targets are leaving.
+      states: What was learned of services and targets.
+    """
+
+    dispatcher: Dispatch
+    target_states: target_states_lib.TargetStates
+    states: service_states.ServiceStates
+
+
+class StateReport(Protocol):
+    """The part of a target's reply that tells whether it is leaving."""
+
+    @property
+    def target_state(self) -> str:
+        """Serving or draining."""
+        ...
+
+    @property
+    def target_epoch(self) -> int:
+        """Start of the target process."""
+        ...
+
+    @property
+    def state_sequence(self) -> int:
+        """Counts changes of state within an epoch."""
+        ...
+
+
+def report_state(
+    target_states: target_states_lib.TargetStates,
+    target_id: str,
+    status: str,
+    report: StateReport,
+) -> None:
+    """Passes on what a reply says of its target's state."""
+    draining = "draining" in (status, report.target_state)
+    states = target_states_lib.ServingState
+    target_states.observe(
+        target_states_lib.TargetState(
+            target_id,
+            report.target_epoch,
+            report.state_sequence,
+            states.DRAINING if draining else states.SERVING,
+        )
+    )
+
+
+class Sender:
+    """Owns the attempts of one search.
+
+    Attributes:
+      attempts: All attempts in the order of their start.
+      ended: Attempts that ended and were not read yet.
+      event: Set when an attempt has ended.
+      hedges: Attempts in the order in which their hedges fall due.
+      running_count: Attempts that are out.
+      retry_after_ms: Longest wait that a refusal named.
+    """
+
+    def __init__(
+        self, request: SearchRequest, context: Context, cutoff_s: float
+    ):
+        self._request = request
+        self._dispatcher = context.dispatcher
+        self._target_states = context.target_states
+        self._tracker = context.states.tracker
+        self._known = context.states.get(request.service)
+        self._cutoff_s = cutoff_s
+        self._encoder = shard_requests.Encoder(
+            request.service.name, request.query
+        )
+        self.attempts: list[attempts_lib.Attempt] = []
+        self.ended: list[tuple[attempts_lib.Attempt, work_lib.Result]] = []
+        self.event = asyncio.Event()
+        self.hedges: collections.deque[attempts_lib.Attempt] = (
+            collections.deque()
+        )
+        self.running_count = 0
+        self.retry_after_ms = 0
+
+    def ask(
+        self,
+        progress: attempts_lib.ShardProgress,
+        snapshot: answers.Snapshot,
+        kind: attempts_lib.AttemptKind,
+        now_s: float,
+        *,
+        only_holders: bool = False,
+    ) -> bool:
+        """Sends a shard request to the best replica.
+
+        Args:
+          progress: The shard.
+          snapshot: Snapshot to ask for.
+          kind: Why it is sent; hedges and retries take a token.
+          now_s: Monotonic time.
+          only_holders: Whether to skip replicas that are known to lack the
+            snapshot even if there is no other.
+
+        Returns:
+          False if there is no replica or no token.
+        """
+        paid = kind in (_Kind.HEDGE, _Kind.RETRY)
+        if paid and self._known.bucket.tokens < 1.0:
+            return False
+        candidates = self._candidates(progress, snapshot, now_s, only_holders)
+        if not candidates:
+            return False
+        if paid:
+            self._known.bucket.take()
+        target_id = candidates[0]
+        if len(candidates) > 1:
+            target_id = self._tracker.choose(candidates, now_s)
+        self._send(progress, snapshot, target_id, kind, now_s)
+        return True
+
+    def _candidates(
+        self,
+        progress: attempts_lib.ShardProgress,
+        snapshot: answers.Snapshot,
+        now_s: float,
+        only_holders: bool,
+    ) -> list[str]:
+        shard = progress.shard
+        is_leaving = self._target_states.is_leaving
+        tried_ids = progress.tried_ids
+        usable = [
+            target_id
+            for target_id in shard.target_ids
+            if target_id not in tried_ids and not is_leaving(target_id)
+        ]
+        if progress.excluded_ids:
+            usable = [t for t in usable if t not in progress.excluded_ids]
+        lacking = self._known.versions.lacking(snapshot, shard.shard_id, now_s)
+        if not lacking:
+            return usable
+        holders = [t for t in usable if t not in lacking]
+        return holders if holders or only_holders else usable
+
+    def _send(
+        self,
+        progress: attempts_lib.ShardProgress,
+        snapshot: answers.Snapshot,
+        target_id: str,
+        kind: attempts_lib.AttemptKind,
+        now_s: float,
+    ) -> None:
+        number = len(self.attempts) + 1
+        attempt = attempts_lib.Attempt(
+            f"{self._request.request_id}.{number}",
+            progress,
+            target_id,
+            snapshot,
+            kind,
+            now_s,
+        )
+        self.attempts.append(attempt)
+        progress.tried_ids.add(target_id)
+        progress.running.append(attempt)
+        self.running_count += 1
+        self._tracker.started(target_id, now_s)
+        if kind != _Kind.HEDGE:
+            self.hedges.append(attempt)
+        attempt.future = self._dispatcher.submit(
+            work_lib.Work(
+                attempt_id=attempt.attempt_id,
+                caller=self._request.caller,
+                service=self._request.service.name,
+                target_id=target_id,
+                path=SHARD_PATH,
+                body=self._encoder.encode(
+                    snapshot, progress.shard.shard_id, attempt.attempt_id
+                ),
+                deadline_s=self._cutoff_s,
+                idempotent=True,
+            )
+        )
+        attempt.future.add_done_callback(
+            functools.partial(self._on_done, attempt)
+        )
+
+    def _on_done(
+        self,
+        attempt: attempts_lib.Attempt,
+        future: asyncio.Future[work_lib.Result],
+    ) -> None:
+        if attempt.status != "running":
+            return
+        attempt.elapsed_s = time.monotonic() - attempt.start_s
+        if future.cancelled() or future.exception() is not None:
+            result = work_lib.Result(work_lib.Status.LOST)
+        else:
+            result = future.result()
+        attempt.future = None
+        self.ended.append((attempt, result))
+        self.event.set()
+
+    def take_ended(
+        self,
+    ) -> list[tuple[attempts_lib.Attempt, work_lib.Result]]:
+        """Returns the attempts that ended since the last call."""
+        ended, self.ended = self.ended, []
+        return ended
+
+    def read(
+        self,
+        attempt: attempts_lib.Attempt,
+        result: work_lib.Result,
+        now_s: float,
+        *,
+        given_up: bool,
+    ) -> replies_lib.ShardReply | None:
+        """Decodes a reply and keeps what it teaches.
+
+        Args:
+          attempt: The attempt that ended.
+          result: Its result.
+          now_s: Monotonic time.
+          given_up: Whether the search no longer waited for it.
+
+        Returns:
+          The reply, or None if there is none that can be used.
+        """
+        reply = None
+        shard_id = attempt.shard.shard.shard_id
+        if result.status == work_lib.Status.REPLIED:
+            reply = replies_lib.decode(
+                result.body, attempt.attempt_id, shard_id, attempt.snapshot
+            )
+        if reply is None:
+            self._known.versions.forget(
+                attempt.snapshot.shard_map_version, shard_id, attempt.target_id
+            )
+            return None
+        # Most replies repeat what the target said before.
+        said = (reply.target_epoch, reply.state_sequence, reply.target_state)
+        last_said = self._known.last_said
+        if last_said.get(attempt.target_id) != said or reply.status == _LEFT:
+            last_said[attempt.target_id] = said
+            report_state(
+                self._target_states, attempt.target_id, reply.status, reply
+            )
+        if reply.status in ("ok", "version_missing", "map_missing"):
+            self._known.versions.observe(
+                reply.shard_map_version,
+                shard_id,
+                attempt.target_id,
+                reply.held_versions,
+                now_s,
+            )
+        if reply.status == "ok" and not given_up:
+            self._known.hedge_delay.observe(attempt.elapsed_s)
+        return reply
+
+    def release(
+        self,
+        attempt: attempts_lib.Attempt,
+        result: work_lib.Result,
+        reply: replies_lib.ShardReply | None,
+        now_s: float,
+    ) -> None:
+        """Counts the end of an attempt for its target."""
+        attempt.shard.running.remove(attempt)
+        self.running_count -= 1
+        target_id = attempt.target_id
+        attempt.status = _status_text(result.status, reply)
+        if reply is not None and reply.status in ("shed", "draining"):
+            if reply.status == "shed":
+                attempt.shard.excluded_ids.add(target_id)
+            self._note_refusal(target_id, reply.retry_after_ms, now_s)
+        elif work_lib.is_not_run(result.status):
+            if result.status == work_lib.Status.NOT_SENT:
+                self._tracker.failed(target_id)
+            else:
+                self._note_refusal(target_id, result.retry_after_ms, now_s)
+        elif reply is None or reply.status == "error":
+            self._tracker.failed(target_id)
+        else:
+            self._tracker.finished(target_id, attempt.elapsed_s, now_s)
+
+    def _note_refusal(
+        self, target_id: str, retry_after_ms: int, now_s: float
+    ) -> None:
+        self._tracker.refused(target_id, retry_after_ms, now_s)
+        self.retry_after_ms = max(self.retry_after_ms, retry_after_ms)
+
+    def give_up(self, attempt: attempts_lib.Attempt, now_s: float) -> None:
+        """Cancels an attempt that is out."""
+        attempt.shard.running.remove(attempt)
+        self.running_count -= 1
+        attempt.status = "cancelled"
+        attempt.elapsed_s = now_s - attempt.start_s
+        self._tracker.abandoned(attempt.target_id, attempt.elapsed_s)
+        future, attempt.future = attempt.future, None
+        if future is not None:
+            future.cancel()
+
+    def cancel_running(self, now_s: float) -> None:
+        """Gives up every attempt that is still out."""
+        if self.running_count:
+            for attempt in self.attempts:
+                if attempt.status == "running":
+                    self.give_up(attempt, now_s)
+
+
+def _status_text(
+    status: work_lib.Status, reply: replies_lib.ShardReply | None
+) -> str:
+    if status != work_lib.Status.REPLIED:
+        return status.value
+    return reply.status if reply is not None else "malformed"
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/query/service_states.py
@@ -0,0 +1,65 @@
+"""What an instance learns of each service, kept between searches."""
+
+from lycheerock._internal.query import budgets
+from lycheerock._internal.query import replicas
+from lycheerock._internal.query import versions
+from lycheerock_model import bundle as bundle_lib
+
+
+class ServiceState:
+    """Knowledge of one service.
+
+    Attributes:
+      versions: Index versions that the targets hold.
+      bucket: Tokens for hedges and retries.
+      hedge_delay: Time after which a shard request is hedged.
+      last_said: What each target last said of its own state.
+    """
+
+    def __init__(self, service: bundle_lib.Service):
+        self._service = service
+        self.versions = versions.VersionTable()
+        self.versions.apply(service.shard_maps)
+        self.bucket = budgets.TokenBucket(
+            service.hedge_ratio, _shard_count(service)
+        )
+        self.hedge_delay = budgets.HedgeDelay()
+        self.last_said: dict[str, tuple[int, int, str]] = {}
+
+    def apply(self, service: bundle_lib.Service) -> None:
+        """Takes the settings of a new bundle; does nothing for the same."""
+        if self._service is service:
+            return
+        self._service = service
+        self.last_said.clear()
+        self.versions.apply(service.shard_maps)
+        self.bucket.resize(service.hedge_ratio, _shard_count(service))
+
+
+class ServiceStates:
+    """The states of all services, and the latencies of all targets."""
+
+    def __init__(self) -> None:
+        self.tracker = replicas.LatencyTracker()
+        self._states: dict[str, ServiceState] = {}
+
+    def apply(self, bundle: bundle_lib.Bundle) -> None:
+        """Forgets the services and targets that the bundle no longer has."""
+        names = {service.name for service in bundle.services}
+        for name in self._states.keys() - names:
+            del self._states[name]
+        self.tracker.retain(
+            {t.target_id for s in bundle.services for t in s.targets}
+        )
+
+    def get(self, service: bundle_lib.Service) -> ServiceState:
+        """Returns the state of a service under the bundle of a request."""
+        state = self._states.get(service.name)
+        if state is None:
+            state = self._states[service.name] = ServiceState(service)
+        state.apply(service)
+        return state
+
+
+def _shard_count(service: bundle_lib.Service) -> int:
+    return max(len(m.shards) for m in service.shard_maps)
--- a/packages/model/src/lycheerock_model/exceptions.py
+++ b/packages/model/src/lycheerock_model/exceptions.py
@@ -94,6 +94,12 @@
     kind = ErrorKind.OVERLOADED
 
 
+class DeadlineError(LycheerockError):
+    """The deadline passed before the request was run."""
+
+    kind = ErrorKind.DEADLINE
+
+
 class NotAdmittingError(LycheerockError):
     """The instance may not admit requests at the moment."""
 
--- /dev/null
+++ b/tests/test_replicas.py
@@ -0,0 +1,113 @@
+"""Tests of replica choice, the hedge delay and the budget."""
+
+from hypothesis import given
+from hypothesis import strategies
+
+from lycheerock._internal.query import budgets
+from lycheerock._internal.query import replicas
+
+
+def _request(
+    tracker: replicas.LatencyTracker, target_id: str, elapsed_s: float
+) -> None:
+    tracker.started(target_id, 0.0)
+    tracker.finished(target_id, elapsed_s, 0.0)
+
+
+class TestLatencyTracker:
+    """The replica with the least expected wait gets the request."""
+
+    def test_slow_replica_gets_only_rare_probes(self) -> None:
+        # Guards against a straggler that keeps its share, and against one that
+        # is never tried again after it has recovered.
+        tracker = replicas.LatencyTracker()
+        _request(tracker, "slow", 0.5)
+        _request(tracker, "fast", 0.01)
+        chosen = []
+        for tick in range(1, 1201):
+            now_s = tick / 100
+            target_id = tracker.choose(["slow", "fast"], now_s)
+            tracker.started(target_id, now_s)
+            elapsed_s = 0.5 if target_id == "slow" else 0.01
+            tracker.finished(target_id, elapsed_s, now_s)
+            chosen.append(target_id)
+        assert chosen.count("slow") == 2
+
+    def test_queue_counts_as_much_as_latency(self) -> None:
+        # Guards against sending every shard of a search to one replica.
+        tracker = replicas.LatencyTracker()
+        _request(tracker, "a", 0.01)
+        _request(tracker, "b", 0.015)
+        chosen = []
+        for _ in range(10):
+            target_id = tracker.choose(["a", "b"], 0.1)
+            tracker.started(target_id, 0.1)
+            chosen.append(target_id)
+        assert chosen.count("a") == 6
+
+    def test_failed_replica_is_avoided_although_it_fails_fast(self) -> None:
+        # Guards against a refused connection that looks like a fast reply.
+        tracker = replicas.LatencyTracker()
+        _request(tracker, "b", 0.2)
+        tracker.started("a", 0.0)
+        tracker.failed("a")
+        assert tracker.choose(["a", "b"], 0.1) == "b"
+
+    def test_abandoned_request_counts_as_slow(self) -> None:
+        # Guards against a replica that is only known by its cancelled requests.
+        tracker = replicas.LatencyTracker()
+        _request(tracker, "b", 0.02)
+        tracker.started("a", 0.0)
+        tracker.abandoned("a", 1.0)
+        assert tracker.choose(["a", "b"], 0.1) == "b"
+
+    def test_returned_replica_starts_slowly(self) -> None:
+        # Guards against the full load on a target with a cold start.
+        tracker = replicas.LatencyTracker()
+        tracker.started("a", 0.0)
+        tracker.failed("a")
+        _request(tracker, "b", 0.01)
+        tracker.started("a", 100.0)
+        tracker.finished("a", 0.01, 100.0)
+        tracker.started("b", 100.0)
+        tracker.finished("b", 0.01, 100.0)
+        chosen = []
+        for _ in range(12):
+            target_id = tracker.choose(["a", "b"], 100.0)
+            tracker.started(target_id, 100.0)
+            chosen.append(target_id)
+        assert chosen.count("a") == 2
+
+
+class TestTokenBucket:
+    """Extra requests stay within the share of first attempts."""
+
+    @given(
+        strategies.floats(0.0, 1.0),
+        strategies.lists(strategies.integers(0, 50), max_size=60),
+    )
+    def test_extra_requests_never_exceed_the_share(
+        self, ratio: float, searches: list[int]
+    ) -> None:
+        # Guards against hedges and retries that each have their own budget.
+        bucket = budgets.TokenBucket(ratio, 50)
+        first_count = extra_count = 0
+        for count in searches:
+            bucket.add_first_attempts(count)
+            first_count += count
+            extra_count += sum(bucket.take() for _ in range(20))
+        allowed = budgets.TOKENS_MIN + ratio * first_count
+        assert extra_count <= (allowed + 1e-6 if ratio else 0)
+
+
+class TestHedgeDelay:
+    """The delay follows the recent 95th percentile."""
+
+    def test_delay_follows_recent_replies_only(self) -> None:
+        # Guards against a delay that remembers a slow hour for ever.
+        delay = budgets.HedgeDelay()
+        for number in range(600):
+            delay.observe(1.0 + number / 1000)
+        for number in range(600):
+            delay.observe(0.001 * (number % 100 + 1))
+        assert 0.094 <= delay.delay_s <= 0.096
--- /dev/null
+++ b/tests/test_search.py
@@ -0,0 +1,260 @@
+"""Tests of searches over scripted targets."""
+
+import asyncio
+import dataclasses
+import time
+
+from hypothesis import given
+from hypothesis import strategies
+import msgspec
+import pytest
+import scripted
+
+from lycheerock._internal.dispatch import target_states
+from lycheerock._internal.query import records
+from lycheerock._internal.query import search
+from lycheerock._internal.query import sender
+from lycheerock._internal.query import service_states
+from lycheerock_model import answers
+from lycheerock_model import bundle as bundle_lib
+
+Replica = scripted.Replica
+COVERAGE = bundle_lib.Weighs.COVERAGE
+MODES = (
+    *("ok", "ok", "ok", "shed", "draining", "error"),
+    *("lost", "rubbish", "not_sent", "refused", "too_large"),
+)
+TWO_OF_THREE = [["a", "b"], ["b", "c"], ["c", "a"]]
+
+
+class Searches:
+    """A searcher over scripted targets; what it learns lasts."""
+
+    def __init__(self, **replicas: Replica):
+        self.targets = scripted.Targets(replicas)
+        self.states = service_states.ServiceStates()
+        context = sender.Context(
+            self.targets, target_states.TargetStates(), self.states
+        )
+        self.searcher = search.Searcher(context)
+
+    def run(
+        self, service: bundle_lib.Service, time_left_s: float = 60.0
+    ) -> answers.Answer:
+        return self.complete(service, time_left_s).answer
+
+    def complete(
+        self, service: bundle_lib.Service, time_left_s: float = 60.0
+    ) -> records.Completed:
+        async def run() -> records.Completed:
+            deadline_s = time.monotonic() + time_left_s
+            request = sender.SearchRequest(
+                "i0.1.1", "c", service, 1, "q", deadline_s
+            )
+            completed = await self.searcher.run(request)
+            await asyncio.sleep(0)
+            return completed
+
+        self.targets.sent.clear()
+        return asyncio.run(run())
+
+
+def check_answer(service: bundle_lib.Service, answer: answers.Answer) -> None:
+    """Checks coverage and the single snapshot of an answer."""
+    lacking = [entry.shard for entry in answer.lacking]
+    told = sorted([*answer.covered, *lacking])
+    maps = {m.shard_map_version: m for m in service.shard_maps}
+    if answer.snapshot is not None:
+        maps = {0: maps[answer.snapshot.shard_map_version]}
+    assert told in [sorted(s.shard_id for s in m.shards) for m in maps.values()]
+    rows = [msgspec.json.decode(row) for row in answer.results]
+    assert sorted(row["shard"] for row in rows) == sorted(answer.covered)
+    for row in rows:
+        pair = (row["shard_map_version"], row["index_version"])
+        assert answers.Snapshot(*pair) == answer.snapshot
+
+
+class TestSnapshots:
+    """Each answer has one snapshot, and knowledge lasts."""
+
+    def test_falls_back_to_the_old_map(self) -> None:
+        # Guards against an empty answer while no target has the new map yet.
+        service = scripted.build_service({1: TWO_OF_THREE, 2: [["a"], ["b"]]})
+        answer = Searches(a=Replica(), b=Replica(), c=Replica()).run(service)
+        assert answer.snapshot == answers.Snapshot(1, 1)
+        assert len(answer.covered) == 3
+
+    def test_moves_to_the_new_map_when_targets_drop_the_old(self) -> None:
+        # Guards against staying on a map that earlier replies spoke for.
+        service = scripted.build_service({1: TWO_OF_THREE, 2: [["a"], ["b"]]})
+        searches = Searches(a=Replica(), b=Replica(), c=Replica())
+        assert searches.run(service).snapshot == answers.Snapshot(1, 1)
+        for replica in searches.targets.replicas.values():
+            replica.held = {2: (5,)}
+        for state in searches.states.get(service).versions._maps.values():
+            state.asked_s = float("-inf")
+        answer = searches.run(service)
+        assert answer.snapshot == answers.Snapshot(2, 5)
+        assert len(answer.covered) == 2
+
+    def test_next_search_starts_at_the_version_learned(self) -> None:
+        # Guards against asking every shard twice in every search while the
+        # targets hold different newest versions.
+        service = scripted.build_service({1: [["a"], ["b"], ["c"]]})
+        new = Replica({1: (1, 2)})
+        searches = Searches(a=new, b=Replica(), c=Replica())
+        first = searches.run(service)
+        assert len(searches.targets.sent) == 4
+        second = searches.run(service)
+        assert len(searches.targets.sent) == 3
+        assert first.snapshot == second.snapshot == answers.Snapshot(1, 1)
+
+    def test_shard_without_the_version_says_so(self) -> None:
+        # Guards against naming the deadline for a version that was dropped.
+        service = scripted.build_service({1: [["a"], ["b"], ["c"]]})
+        searches = Searches(a=Replica(), b=Replica(), c=Replica({1: (7,)}))
+        answer = searches.run(service)
+        reason = answers.LackingReason.VERSION_MISSING
+        assert answer.lacking == (answers.Lacking("m1s2", reason),)
+
+    def test_reply_for_another_shard_is_an_error_of_the_target(self) -> None:
+        # Guards against counting the rows of one shard for another.
+        service = scripted.build_service({1: [["a"], ["b"]]})
+        wrong = Replica(change={"shard": "m1s0"})
+        answer = Searches(a=Replica(), b=wrong).run(service)
+        reason = answers.LackingReason.TARGET_ERROR
+        assert answer.lacking == (answers.Lacking("m1s1", reason),)
+
+    @given(
+        strategies.lists(
+            strategies.builds(
+                Replica,
+                strategies.dictionaries(
+                    strategies.sampled_from([1, 2]),
+                    strategies.lists(
+                        strategies.integers(1, 3), unique=True
+                    ).map(tuple),
+                ),
+                strategies.sampled_from(MODES),
+            ),
+            min_size=3,
+            max_size=3,
+        ),
+        strategies.integers(1, 3),
+    )
+    def test_any_state_of_the_targets_gives_a_truthful_answer(
+        self, replicas: list[Replica], search_count: int
+    ) -> None:
+        # Guards against mixed snapshots and shards that nothing accounts for.
+        service = scripted.build_service({1: TWO_OF_THREE, 2: [["b", "c"]]})
+        searches = Searches(**dict(zip("abc", replicas, strict=True)))
+        for _ in range(search_count):
+            check_answer(service, searches.run(service))
+
+
+class TestReplicas:
+    """Failed shard requests go to other replicas within the budget."""
+
+    @pytest.mark.parametrize("mode", ["lost", "not_sent", "error", "rubbish"])
+    def test_failed_replica_is_replaced(self, mode: str) -> None:
+        # Guards against a lost replica that takes its shards along.
+        service = scripted.build_service({1: TWO_OF_THREE})
+        searches = Searches(a=Replica(mode=mode), b=Replica(), c=Replica())
+        assert len(searches.run(service).covered) == 3
+
+    def test_shed_request_never_returns_to_the_target(self) -> None:
+        # Guards against adding load to a target that sheds it.
+        service = scripted.build_service({1: [["a"]]}, weighs=COVERAGE)
+        searches = Searches(a=Replica(mode="shed"))
+        answer = searches.run(service)
+        assert len(searches.targets.sent) == 1
+        assert answer.lacking[0].reason == answers.LackingReason.REFUSED
+        assert answer.outcome == answers.Outcome.NOT_RUN
+
+    def test_draining_target_is_left_alone_at_no_cost(self) -> None:
+        # Guards against new work for a leaving target.
+        service = scripted.build_service({1: TWO_OF_THREE}, hedge_ratio=0.0)
+        searches = Searches(
+            a=Replica(mode="draining"), b=Replica(), c=Replica()
+        )
+        assert len(searches.run(service).covered) == 3
+        searches.run(service)
+        assert "a" not in [target for target, _ in searches.targets.sent]
+
+    def test_without_budget_nothing_is_sent_again(self) -> None:
+        # Guards against retries that multiply the load of a failure.
+        service = scripted.build_service({1: TWO_OF_THREE}, hedge_ratio=0.0)
+        searches = Searches(a=Replica(mode="lost"), b=Replica(), c=Replica())
+        searches.run(service)
+        assert len(searches.targets.sent) == 3
+
+    def test_hedge_replaces_a_silent_replica(self) -> None:
+        # Guards against waiting for a straggler until the deadline.
+        service = scripted.build_service({1: TWO_OF_THREE})
+        searches = Searches(a=Replica(mode="never"), b=Replica(), c=Replica())
+        completed = searches.complete(service)
+        assert len(completed.answer.covered) == 3
+        silent = [f for f in searches.targets.futures if f.cancelled()]
+        assert len(silent) == completed.extra_attempt_count == 1
+
+
+class TestCoverage:
+    """Services state what they require of an answer."""
+
+    def test_answer_below_the_requirement_is_a_typed_error(self) -> None:
+        # Guards against a partial answer where the service allows none.
+        service = scripted.build_service(
+            {1: [["a"], ["b"]]}, partial_allowed=False
+        )
+        searches = Searches(a=Replica(), b=Replica(mode="too_large"))
+        answer = searches.run(service)
+        assert answer.error is not None
+        assert answer.error.kind == "coverage"
+        assert answer.covered == ("m1s0",)
+        assert answer.outcome == answers.Outcome.UNKNOWN
+
+    def test_coverage_service_asks_until_the_shard_answers(self) -> None:
+        # Guards against giving up while there is time left.
+        service = scripted.build_service({1: [["a"]]}, weighs=COVERAGE)
+        searches = Searches(a=Replica(mode="lost", failures=4))
+        assert searches.run(service).covered == ("m1s0",)
+
+    def test_deadline_cancels_what_is_still_out(self) -> None:
+        # Guards against work that goes on for nobody.
+        service = scripted.build_service({1: [["a"], ["b"]]})
+        searches = Searches(a=Replica(), b=Replica(mode="never"))
+        answer = searches.run(service, 0.05)
+        reason = answers.LackingReason.DEADLINE
+        assert answer.lacking == (answers.Lacking("m1s1", reason),)
+        assert searches.targets.futures[1].cancelled()
+
+
+class TestRecords:
+    """The ring answers why a request got its answer."""
+
+    def test_record_names_each_attempt(self) -> None:
+        # Guards against a record that hides the retry.
+        service = scripted.build_service({1: [["a", "b"]]})
+        searches = Searches(a=Replica(mode="lost"), b=Replica())
+        kept = records.Records()
+        kept.add("c", "svc", 0.1, searches.complete(service))
+        found = kept.find("i0.1.1")
+        assert found is not None
+        told = [(a.target_id, a.status, a.is_retry) for a in found.attempts]
+        assert told == [("a", "lost", False), ("b", "ok", True)]
+
+    def test_memory_is_bounded_by_attempts(self) -> None:
+        # Guards against wide searches that fill the memory.
+        service = scripted.build_service({1: [["a"]]})
+        searches = Searches(a=Replica())
+        kept = records.Records(size_max=5, attempts_max=3)
+        for number in range(9):
+            completed = searches.complete(service)
+            answer = dataclasses.replace(
+                completed.answer, request_id=f"i0.1.{number}"
+            )
+            kept.add(
+                "c", "svc", 0.1, dataclasses.replace(completed, answer=answer)
+            )
+        assert kept.find("i0.1.8") is not None
+        assert len(kept) == 3
