--- a/packages/daemon/src/lycheerock/_internal/entry/server.py
+++ b/packages/daemon/src/lycheerock/_internal/entry/server.py
@@ -72,7 +72,10 @@
         self._store = store
         self._searcher = searcher
         self._runner = runner
-        self._records = records or records_lib.Records()
+        # An empty ring is false, so that `or` would replace it.
+        if records is None:
+            records = records_lib.Records()
+        self._records = records
         self._metrics = metrics or metrics_lib.NoMetrics()
         self._admission = admission or admission_lib.Admission()
 
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import dataclasses
+import time
 from typing import Any
 
 import msgspec
 
 from lycheerock._internal.dispatch import work as work_lib
+from lycheerock_bench import history
 from lycheerock_model import bundle as bundle_lib
 
 Status = work_lib.Status
@@ -37,6 +39,7 @@
     def __init__(self, replicas: dict[str, Replica]):
         self.replicas = replicas
         self.sent: list[tuple[str, dict[str, Any]]] = []
+        self.runs: list[history.Run] = []
         self.futures: list[asyncio.Future[work_lib.Result]] = []
 
     def submit(self, work: work_lib.Work) -> asyncio.Future[work_lib.Result]:
@@ -45,6 +48,10 @@
         body = msgspec.json.decode(work.body)
         self.sent.append((work.target_id, body))
         replica = self.replicas[work.target_id]
+        if "payload" in body and replica.mode in ("ok", "lost", "never"):
+            # The effect comes before the reply, which may get lost.
+            run = history.Run(body["request_key"], time.monotonic())
+            self.runs.append(run)
         if replica.failures == 0:
             replica.mode = "ok"
         replica.failures -= 1
@@ -67,7 +74,7 @@
         }
         if "payload" in body:
             reply["status"] = "done" if replica.mode == "ok" else replica.mode
-            reply["result"] = {"ran": body["request_key"]}
+            reply["result"] = {"request_key": body["request_key"]}
         elif replica.mode == "ok":
             reply |= _shard_reply(replica, body)
         reply |= replica.change
