Check the history of streams while parts change and fail

Cause: nothing showed that answers stay truthful while index versions, partitions, targets and instances change under load.

--- a/packages/bench/src/lycheerock_bench/_internal/fake_target.py
+++ b/packages/bench/src/lycheerock_bench/_internal/fake_target.py
@@ -28,6 +28,8 @@
       silent_connections: Whether connections that are open now go silent.
       malformed: Whether replies are not JSON.
       endless: Whether replies never end.
+      late_replies: Whether each request gets the reply of the one before.
+      duplicate_replies: Whether each reply is sent twice.
     """
 
     service_time_ms: float = 2.0
@@ -44,6 +46,8 @@
     silent_connections: bool = False
     malformed: bool = False
     endless: bool = False
+    late_replies: bool = False
+    duplicate_replies: bool = False
 
 
 class FakeTarget:
@@ -60,6 +64,8 @@
         self._silent: set[asyncio.BaseTransport] = set()
         self._counts: collections.Counter[str] = collections.Counter()
         self._runs: collections.Counter[str] = collections.Counter()
+        self._journal: list[dict[str, Any]] = []
+        self._last_reply = b"{}"
 
     def build(self) -> aiohttp.web.Application:
         """Returns the aiohttp application."""
@@ -68,6 +74,7 @@
         app.router.add_post("/v1/run", self._run)
         app.router.add_put("/control/behaviour", self._set_behaviour)
         app.router.add_get("/control/counts", self._get_counts)
+        app.router.add_get("/control/journal", self._get_journal)
         return app
 
     async def _enter(self, request: aiohttp.web.Request) -> None:
@@ -153,8 +160,14 @@
             status = "done"
             # The effect comes first, so that a lost reply leaves a run behind.
             self._runs[body["request_key"]] += 1
+            self._journal.append(
+                {"key": body["request_key"], "time_s": time.monotonic()}
+            )
             await asyncio.shield(self._serve())
-            reply["result"] = {"run_by": self._target_id}
+            reply["result"] = {
+                "run_by": self._target_id,
+                "request_key": body["request_key"],
+            }
         else:
             self._counts[status] += 1
         return await self._reply(request, reply | {"status": status})
@@ -175,9 +188,12 @@
             return aiohttp.web.Response(text="<html>oops</html>")
         if self._behaviour.endless:
             return await _stream_forever(request)
-        return aiohttp.web.Response(
-            body=msgspec.json.encode(reply), content_type="application/json"
-        )
+        body = msgspec.json.encode(reply)
+        if self._behaviour.late_replies:
+            body, self._last_reply = self._last_reply, body
+        if self._behaviour.duplicate_replies:
+            return await _send_twice(request, body)
+        return aiohttp.web.Response(body=body, content_type="application/json")
 
     async def _set_behaviour(
         self, request: aiohttp.web.Request
@@ -189,6 +205,11 @@
             self._silent |= self._seen
         return aiohttp.web.json_response({})
 
+    async def _get_journal(
+        self, request: aiohttp.web.Request
+    ) -> aiohttp.web.Response:
+        return aiohttp.web.json_response({"runs": self._journal})
+
     async def _get_counts(
         self, request: aiohttp.web.Request
     ) -> aiohttp.web.Response:
@@ -197,6 +218,20 @@
         )
 
 
+async def _send_twice(
+    request: aiohttp.web.Request, body: bytes
+) -> aiohttp.web.StreamResponse:
+    response = aiohttp.web.Response(body=body, content_type="application/json")
+    await response.prepare(request)
+    await response.write_eof()
+    assert request.transport is not None
+    request.transport.write(
+        b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+        b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+    )
+    return response
+
+
 async def _stream_forever(
     request: aiohttp.web.Request,
 ) -> aiohttp.web.StreamResponse:
--- a/packages/bench/src/lycheerock_bench/harness.py
+++ b/packages/bench/src/lycheerock_bench/harness.py
@@ -226,6 +226,13 @@
         async with self.session.get(url) as reply:
             return await reply.json()
 
+    async def target_journal(self, target_id: str) -> list[Any]:
+        """Returns the keys that a fake target ran, with their times."""
+        url = f"http://{self._target_address(target_id)}/control/journal"
+        async with self.session.get(url) as reply:
+            runs: list[Any] = (await reply.json())["runs"]
+            return runs
+
     def _target_address(self, target_id: str) -> str:
         for target in self.targets():
             if target["target_id"] == target_id:
--- a/packages/daemon/src/lycheerock/_internal/query/search.py
+++ b/packages/daemon/src/lycheerock/_internal/query/search.py
@@ -311,6 +311,9 @@
                 continue
             progress.tried_ids.clear()
             if not self._ask(progress, _Kind.RETRY, now_s):
+                # Without a token this search learns nothing from targets, but
+                # others may have found a snapshot that covers more.
+                self._dirty |= self._missing_seen
                 reason = progress.failure or answers.LackingReason.NO_TARGET
                 self._fail(progress, reason, now_s)
 
--- a/packages/daemon/src/lycheerock/_internal/query/versions.py
+++ b/packages/daemon/src/lycheerock/_internal/query/versions.py
@@ -66,6 +66,9 @@
             if version not in held and now_s - learned_s <= LACK_TTL_S
         ]
 
+    def may_be_asked(self, now_s: float) -> bool:
+        return not self._held or now_s - self.asked_s > MAP_PROBE_PERIOD_S
+
     def best(self) -> tuple[float, answers.Snapshot] | None:
         size = len(self.shard_map.shards)
         map_version = self.shard_map.shard_map_version
@@ -163,7 +166,7 @@
         idle_first = max(
             self._maps.values(),
             key=lambda m: (
-                now_s - m.asked_s > MAP_PROBE_PERIOD_S,
+                m.may_be_asked(now_s),
                 m.shard_map.shard_map_version,
             ),
         )
@@ -192,6 +195,6 @@
             best = known.best()
             if best is not None and best[0] > ratio:
                 found.append(best)
-            elif best is None and now_s - known.asked_s > MAP_PROBE_PERIOD_S:
+            elif best is None and known.may_be_asked(now_s):
                 found.append((0.0, answers.Snapshot(version, NEWEST)))
         return max(found)[1] if found else None
