Measure bookings with a conditional create at the platform per key

Cause: section 6.5 of the design rejects alternative (a) without figures.

Change: lycheerock-bench booking-trial runs 200 bookings through a small trial of (a) and through the product, each with the platform up (10% of the replies to writes lost) and down. The trial is in packages/bench only.

--- a/packages/bench/src/lycheerock_bench/__main__.py
+++ b/packages/bench/src/lycheerock_bench/__main__.py
@@ -8,6 +8,7 @@
 import defopt
 import msgspec
 
+from lycheerock_bench._internal import booking_trial as booking_trial_lib
 from lycheerock_bench._internal import demo
 from lycheerock_bench._internal import deployments
 from lycheerock_bench._internal import fake_platform
@@ -109,11 +110,30 @@
         )
 
 
+def booking_trial(*, directory: pathlib.Path, bookings: int = 200) -> None:
+    """Compares platform writes and refusals of two ways to book at most once.
+
+    Args:
+      directory: Where files and logs go.
+      bookings: Bookings per variant and phase.
+    """
+    with aiomisc.entrypoint(log_config=False) as loop:
+        found = loop.run_until_complete(
+            booking_trial_lib.run(directory, bookings)
+        )
+    print("variant      writes/booking  refused in an outage  done otherwise")
+    for row in found:
+        print(
+            f"{row.variant:12} {row.writes_per_booking:14.2f}"
+            f" {row.refused_ratio:20.1%} {row.done_ratio:15.1%}"
+        )
+
+
 def main() -> None:
     """Entry point of the `lycheerock-bench` binary."""
     sys.exit(
         defopt.run(
-            [platform, targets, write_local, run_demo],
+            [platform, targets, write_local, run_demo, booking_trial],
             cli_options="all",
             short={},
         )
--- /dev/null
+++ b/packages/bench/src/lycheerock_bench/_internal/booking_trial.py
@@ -0,0 +1,126 @@
+"""Compares two ways to run a booking at most once.
+
+Variant "platform" is a trial of a conditional create at the platform for each
+key, with a nonce and a read-back when the reply is lost. Variant "incarnation"
+is the product: the instance that issued the key keeps the outcome.
+"""
+
+import contextlib
+import dataclasses
+import pathlib
+import secrets
+from typing import Any
+
+import aiohttp
+
+from lycheerock_bench import harness
+
+SERVICE = "guest-portal"
+SHAPES = [harness.ServiceShape(SERVICE, "latency", 3, 6, 2, 3, 30)]
+INSTANCE_COUNT = 2
+REPLY_LOST_RATIO = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class Measured:
+    """Figures of one variant.
+
+    Attributes:
+      variant: platform or incarnation.
+      writes_per_booking: Platform writes, with the platform up.
+      refused_ratio: Share of bookings refused while the platform is down.
+      done_ratio: Share of bookings done with the platform up.
+    """
+
+    variant: str
+    writes_per_booking: float
+    refused_ratio: float
+    done_ratio: float
+
+
+async def run(directory: pathlib.Path, booking_count: int) -> list[Measured]:
+    """Measures both variants on a local deployment.
+
+    Args:
+      directory: Where files and logs go.
+      booking_count: Bookings per variant and phase.
+
+    Returns:
+      One entry per variant.
+    """
+    deployment = harness.Deployment(directory, SHAPES, INSTANCE_COUNT)
+    try:
+        await deployment.start()
+        return [
+            await _measure(deployment, "platform", booking_count),
+            await _measure(deployment, "incarnation", booking_count),
+        ]
+    finally:
+        await deployment.stop()
+
+
+async def _measure(
+    deployment: harness.Deployment, variant: str, count: int
+) -> Measured:
+    book = _book_platform if variant == "platform" else _book_product
+    await deployment.platform_faults(reply_lost_ratio=REPLY_LOST_RATIO)
+    writes = (await deployment.platform_counts()).get("write", 0)
+    up = [await book(deployment) for _ in range(count)]
+    writes = (await deployment.platform_counts()).get("write", 0) - writes
+    await deployment.platform_faults(down=True)
+    down = [await book(deployment) for _ in range(count)]
+    await deployment.platform_faults()
+    return Measured(
+        variant,
+        writes / count,
+        down.count("not_run") / count,
+        up.count("done") / count,
+    )
+
+
+async def _book_product(deployment: harness.Deployment) -> str:
+    key = (await deployment.issue_keys("i0"))[0]
+    answer = await deployment.book("i1", SERVICE, key)
+    outcome: str = answer["outcome"]
+    return outcome
+
+
+async def _book_platform(deployment: harness.Deployment) -> str:
+    key = secrets.token_hex(8)
+    if not await _claim(deployment, key):
+        return "not_run"
+    target = deployment.targets()[0]
+    body = {
+        "service": SERVICE,
+        "shard": "s0",
+        "attempt_id": key,
+        "request_key": key,
+        "payload": {},
+    }
+    url = f"http://{target['address']}/v1/run"
+    async with deployment.session.post(url, json=body) as reply:
+        status: str = (await reply.json())["status"]
+        return status
+
+
+async def _claim(deployment: harness.Deployment, key: str) -> bool:
+    """Creates the object of a key; returns False if it is not proven."""
+    nonce = secrets.token_hex(8)
+    url = f"http://{deployment.platform}/objects/keys/{key}"
+    try:
+        async with deployment.session.put(
+            f"{url}?if_version=0", json={"nonce": nonce}
+        ) as reply:
+            if reply.status != 409:
+                return reply.status == 200
+            # The HTTP library sends a PUT again when the reply is lost, and
+            # the second one meets the object that the first one created.
+            stored: Any = await reply.json()
+            return bool(stored["value"]["nonce"] == nonce)
+    except aiohttp.ClientError:
+        # The write may have taken effect; the nonce tells whose it is.
+        with contextlib.suppress(aiohttp.ClientError):
+            async with deployment.session.get(url) as reply:
+                stored = await reply.json()
+                return bool(stored["value"]["nonce"] == nonce)
+    return False
