--- a/packages/bench/src/lycheerock_bench/harness.py
+++ b/packages/bench/src/lycheerock_bench/harness.py
@@ -164,7 +164,7 @@
         deadline_ms: int | None = None,
     ) -> Any:
         """Sends one search to an instance and returns the answer."""
-        headers = _caller_headers()
+        headers = caller_headers()
         if deadline_ms is not None:
             headers["X-Deadline-Ms"] = str(deadline_ms)
         url = self.caller_url(instance_id, f"/v1/services/{service}/search")
@@ -175,7 +175,7 @@
     async def issue_keys(self, instance_id: str, count: int = 1) -> list[str]:
         """Gets request keys from an instance."""
         url = self.caller_url(instance_id, f"/v1/keys?count={count}")
-        async with self.session.post(url, headers=_caller_headers()) as reply:
+        async with self.session.post(url, headers=caller_headers()) as reply:
             keys: list[str] = (await reply.json())["keys"]
             return keys
 
@@ -188,7 +188,7 @@
         deadline_ms: int = 5_000,
     ) -> Any:
         """Sends one non-idempotent request and returns the answer."""
-        headers = _caller_headers()
+        headers = caller_headers()
         headers["X-Request-Key"] = key
         headers["X-Deadline-Ms"] = str(deadline_ms)
         url = self.caller_url(instance_id, f"/v1/services/{service}/run")
@@ -283,7 +283,8 @@
         self._claim.close()
 
 
-def _caller_headers() -> dict[str, str]:
+def caller_headers() -> dict[str, str]:
+    """Returns the headers that identify the caller of the bundle."""
     return {"Authorization": f"Bearer {deployments.CALLER_TOKEN}"}
 
 
