Keep queueing out of the expected latency, and tokens for retries

Cause: the tracker multiplied the measured latency, which contains the wait behind other requests, by the queue again, so that busy replicas looked slower than a straggler of 100 ms. Hedges then used up the tokens, and failed shard requests could not be retried.

Change: a measured latency is divided by the requests in flight when it was sent; hedges leave 30% of the tokens to retries.

Seen first: the two new tests fail without the division and without the reserve.

--- a/packages/daemon/src/lycheerock/_internal/booking/runner.py
+++ b/packages/daemon/src/lycheerock/_internal/booking/runner.py
@@ -216,7 +216,7 @@
             return outcomes.not_run(request, "the deadline has passed"), 0
         attempts.append(attempt)
         tracker = self._context.states.tracker
-        tracker.started(target_id, now_s)
+        attempt.depth = tracker.started(target_id, now_s)
         result = await self._context.dispatcher.submit(work)
         attempt.elapsed_s = time.monotonic() - now_s
         reply = outcomes.read(result, attempt.attempt_id)
@@ -261,7 +261,9 @@
                 reply,
             )
         if reply.status == "done":
-            tracker.finished(attempt.target_id, attempt.elapsed_s, now_s)
+            tracker.finished(
+                attempt.target_id, attempt.elapsed_s, attempt.depth, now_s
+            )
         else:
             tracker.refused(attempt.target_id, reply.retry_after_ms, now_s)
 
--- a/packages/daemon/src/lycheerock/_internal/query/budgets.py
+++ b/packages/daemon/src/lycheerock/_internal/query/budgets.py
@@ -5,6 +5,9 @@
 # Tokens that a service with few shards may save up, and has at the start.
 TOKENS_MIN = 10.0
 
+# Part of the saved tokens that hedges leave to retries.
+HEDGE_RESERVE_RATIO = 0.3
+
 # Hedge delay until enough replies were measured.
 HEDGE_DELAY_DEFAULT_S = 0.05
 HEDGE_DELAY_MIN_S = 0.001
@@ -22,10 +25,11 @@
         self._capacity = _capacity(ratio, shard_count)
         self._tokens = min(TOKENS_MIN, self._capacity)
 
-    @property
-    def tokens(self) -> float:
-        """Extra requests that may be sent now."""
-        return self._tokens
+    def has_token(self, *, for_hedge: bool) -> bool:
+        """Tells whether a hedge or a retry may be sent now."""
+        # A hedge only saves time, but a retry saves a shard of the answer.
+        kept = HEDGE_RESERVE_RATIO * self._capacity if for_hedge else 0.0
+        return self._tokens >= 1.0 + kept
 
     def resize(self, ratio: float, shard_count: int) -> None:
         """Takes the settings of a new bundle; saved tokens stay."""
--- a/packages/daemon/src/lycheerock/_internal/query/replicas.py
+++ b/packages/daemon/src/lycheerock/_internal/query/replicas.py
@@ -78,19 +78,37 @@
                 best_id, best_wait_s = target_id, wait_s
         return best_id
 
-    def started(self, target_id: str, now_s: float) -> None:
-        """Counts a request that is being sent."""
+    def started(self, target_id: str, now_s: float) -> int:
+        """Counts a request that is being sent.
+
+        Returns:
+          The requests in flight, with the new one counted.
+        """
         target = self._targets.get(target_id)
         if target is None:
             target = self._targets[target_id] = _Target(now_s)
         target.in_flight += 1
         target.chosen_s = now_s
+        return target.in_flight
+
+    def finished(
+        self, target_id: str, elapsed_s: float, depth: int, now_s: float
+    ) -> None:
+        """Takes the latency of a reply.
 
-    def finished(self, target_id: str, elapsed_s: float, now_s: float) -> None:
-        """Takes the latency of a reply."""
+        Args:
+          target_id: The target.
+          elapsed_s: Time from sending the request to the reply.
+          depth: What `started` returned.
+          now_s: Monotonic time.
+        """
         target = self._release(target_id)
         if target is None:
             return
+        # The wait behind other requests is in the measured time, and `choose`
+        # multiplies by the queue again; without this division busy replicas
+        # look slower than a straggler.
+        elapsed_s /= depth
         if target.failed:
             target.failed = False
             target.start_s = now_s
--- a/packages/daemon/src/lycheerock/_internal/query/sender.py
+++ b/packages/daemon/src/lycheerock/_internal/query/sender.py
@@ -161,13 +161,14 @@
           False if there is no replica or no token.
         """
         paid = kind in (_Kind.HEDGE, _Kind.RETRY)
-        if paid and self._known.bucket.tokens < 1.0:
+        bucket = self._known.bucket
+        if paid and not bucket.has_token(for_hedge=kind == _Kind.HEDGE):
             return False
         candidates = self._candidates(progress, snapshot, now_s, only_holders)
         if not candidates:
             return False
         if paid:
-            self._known.bucket.take()
+            bucket.take()
         target_id = candidates[0]
         if len(candidates) > 1:
             target_id = self._tracker.choose(candidates, now_s)
@@ -218,7 +219,7 @@
         progress.tried_ids.add(target_id)
         progress.running.append(attempt)
         self.running_count += 1
-        self._tracker.started(target_id, now_s)
+        attempt.depth = self._tracker.started(target_id, now_s)
         if kind != _Kind.HEDGE:
             self.hedges.append(attempt)
         attempt.future = self._dispatcher.submit(
@@ -336,7 +337,9 @@
         elif reply is None or reply.status == "error":
             self._tracker.failed(target_id)
         else:
-            self._tracker.finished(target_id, attempt.elapsed_s, now_s)
+            self._tracker.finished(
+                target_id, attempt.elapsed_s, attempt.depth, now_s
+            )
 
     def _note_refusal(
         self, target_id: str, retry_after_ms: int, now_s: float
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -11,7 +11,7 @@
     tracker: replicas.LatencyTracker, target_id: str, elapsed_s: float
 ) -> None:
     tracker.started(target_id, 0.0)
-    tracker.finished(target_id, elapsed_s, 0.0)
+    tracker.finished(target_id, elapsed_s, 1, 0.0)
 
 
 class TestLatencyTracker:
@@ -29,7 +29,7 @@
             target_id = tracker.choose(["slow", "fast"], now_s)
             tracker.started(target_id, now_s)
             elapsed_s = 0.5 if target_id == "slow" else 0.01
-            tracker.finished(target_id, elapsed_s, now_s)
+            tracker.finished(target_id, elapsed_s, 1, now_s)
             chosen.append(target_id)
         assert chosen.count("slow") == 2
 
@@ -45,6 +45,18 @@
             chosen.append(target_id)
         assert chosen.count("a") == 6
 
+    def test_wait_in_the_queue_is_not_counted_twice(self) -> None:
+        # Guards against busy replicas that look slower than a straggler.
+        tracker = replicas.LatencyTracker()
+        _request(tracker, "slow", 0.1)
+        for depth in range(1, 9):
+            assert tracker.started("busy", 0.0) == depth
+        for depth in range(1, 9):
+            tracker.finished("busy", 0.005 * depth, depth, 0.0)
+        for _ in range(8):
+            assert tracker.choose(["slow", "busy"], 0.1) == "busy"
+            tracker.started("busy", 0.1)
+
     def test_failed_replica_is_avoided_although_it_fails_fast(self) -> None:
         # Guards against a refused connection that looks like a fast reply.
         tracker = replicas.LatencyTracker()
@@ -68,9 +80,9 @@
         tracker.failed("a")
         _request(tracker, "b", 0.01)
         tracker.started("a", 100.0)
-        tracker.finished("a", 0.01, 100.0)
+        tracker.finished("a", 0.01, 1, 100.0)
         tracker.started("b", 100.0)
-        tracker.finished("b", 0.01, 100.0)
+        tracker.finished("b", 0.01, 1, 100.0)
         chosen = []
         for _ in range(12):
             target_id = tracker.choose(["a", "b"], 100.0)
@@ -99,6 +111,13 @@
         allowed = budgets.TOKENS_MIN + ratio * first_count
         assert extra_count <= (allowed + 1e-6 if ratio else 0)
 
+    def test_hedges_leave_tokens_to_retries(self) -> None:
+        # Guards against hedges whose cost is shards that cannot be retried.
+        bucket = budgets.TokenBucket(0.05, 6)
+        while bucket.has_token(for_hedge=True):
+            assert bucket.take()
+        assert bucket.has_token(for_hedge=False)
+
 
 class TestHedgeDelay:
     """The delay follows the recent 95th percentile."""
