Count a request that is overdue before its reply has come

Cause: while the first slow replies of a new straggler were out, further searches still chose it.

Change: when the hedge delay has passed, the waiting time so far counts for the expected latency, whether or not a hedge is sent. A request that is given up is divided by the queue like one that was answered.

Seen first: the new test and the one of abandoned requests fail without the rule.

--- a/packages/daemon/src/lycheerock/_internal/query/replicas.py
+++ b/packages/daemon/src/lycheerock/_internal/query/replicas.py
@@ -139,11 +139,16 @@
             wait_s = min(retry_after_ms / 1000, PROBE_PERIOD_S)
             target.not_before_s = now_s + wait_s
 
-    def abandoned(self, target_id: str, elapsed_s: float) -> None:
+    def abandoned(self, target_id: str, elapsed_s: float, depth: int) -> None:
         """Counts a request that was given up; it would have taken longer."""
-        target = self._release(target_id)
-        if target is not None and elapsed_s > target.latency_s:
-            target.latency_s += _WEIGHT * (elapsed_s - target.latency_s)
+        self._release(target_id)
+        self.overdue(target_id, elapsed_s, depth)
+
+    def overdue(self, target_id: str, elapsed_s: float, depth: int) -> None:
+        """Takes the time that a request has waited without a reply so far."""
+        target = self._targets.get(target_id)
+        if target is not None and elapsed_s / depth > target.latency_s:
+            target.latency_s += _WEIGHT * (elapsed_s / depth - target.latency_s)
 
     def _release(self, target_id: str) -> _Target | None:
         target = self._targets.get(target_id)
--- a/packages/daemon/src/lycheerock/_internal/query/search.py
+++ b/packages/daemon/src/lycheerock/_internal/query/search.py
@@ -299,7 +299,10 @@
         while self.sender.hedges and self.sender.hedges[0].start_s <= due_s:
             attempt = self.sender.hedges.popleft()
             progress = attempt.shard
-            if attempt.status == "running" and len(progress.running) == 1:
+            if attempt.status != "running":
+                continue
+            self.sender.note_overdue(attempt, now_s)
+            if len(progress.running) == 1:
                 self._ask(progress, _Kind.HEDGE, now_s, only_holders=True)
 
     def _send_repeats(self, now_s: float) -> None:
--- a/packages/daemon/src/lycheerock/_internal/query/sender.py
+++ b/packages/daemon/src/lycheerock/_internal/query/sender.py
@@ -256,6 +256,11 @@
         self.ended.append((attempt, result))
         self.event.set()
 
+    def note_overdue(self, attempt: attempts_lib.Attempt, now_s: float) -> None:
+        """Lets other searches avoid a replica before its reply has come."""
+        waited_s = now_s - attempt.start_s
+        self._tracker.overdue(attempt.target_id, waited_s, attempt.depth)
+
     def take_ended(
         self,
     ) -> list[tuple[attempts_lib.Attempt, work_lib.Result]]:
@@ -353,7 +358,9 @@
         self.running_count -= 1
         attempt.status = "cancelled"
         attempt.elapsed_s = now_s - attempt.start_s
-        self._tracker.abandoned(attempt.target_id, attempt.elapsed_s)
+        self._tracker.abandoned(
+            attempt.target_id, attempt.elapsed_s, attempt.depth
+        )
         future, attempt.future = attempt.future, None
         if future is not None:
             future.cancel()
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -70,7 +70,16 @@
         tracker = replicas.LatencyTracker()
         _request(tracker, "b", 0.02)
         tracker.started("a", 0.0)
-        tracker.abandoned("a", 1.0)
+        tracker.abandoned("a", 1.0, 1)
+        assert tracker.choose(["a", "b"], 0.1) == "b"
+
+    def test_overdue_request_counts_before_its_reply(self) -> None:
+        # Guards against searches that follow each other into a new straggler.
+        tracker = replicas.LatencyTracker()
+        _request(tracker, "a", 0.01)
+        _request(tracker, "b", 0.03)
+        tracker.started("a", 0.0)
+        tracker.overdue("a", 0.2, 1)
         assert tracker.choose(["a", "b"], 0.1) == "b"
 
     def test_returned_replica_starts_slowly(self) -> None:
