Measure the serving path under faults

Cause: limits, hedges and owners need figures beside a baseline before they change. Change: an open-loop load generator that records from the intended send time, fault scenarios, and a command that runs variants one after another with the same seed.

--- a/packages/bench/src/lycheerock_bench/__main__.py
+++ b/packages/bench/src/lycheerock_bench/__main__.py
@@ -1,5 +1,6 @@
 """Command layer of the bench."""
 
+import dataclasses
 import json
 import pathlib
 import sys
@@ -12,7 +13,9 @@
 from lycheerock_bench._internal import deployments
 from lycheerock_bench._internal import fake_platform
 from lycheerock_bench._internal import fake_target
+from lycheerock_bench._internal import measure_serving as measure
 from lycheerock_bench._internal import serving
+from lycheerock_bench._internal import serving_scenarios
 from lycheerock_model import bundle_check
 
 LOCAL_ZONES = [("montreal", "montreal-a"), ("montreal", "montreal-b")]
@@ -109,11 +112,43 @@
         )
 
 
+def measure_serving(
+    *,
+    scenarios: list[str] = list(serving_scenarios.SCENARIOS),
+    variants: list[str] = ["plain", "owner"],
+    plain_source: pathlib.Path | None = None,
+    plan: tuple[int, float, float, int] = (5, 40.0, 12.0, 1),
+) -> None:
+    """Measures variants of the serving path under the same faults.
+
+    Args:
+      scenarios: Names of the scenarios.
+      variants: Names of the variants: plain, direct, owner.
+      plain_source: Tree whose daemon serves the plain variant; this one if
+        absent.
+      plan: Number of instances, searches per second and service, measured
+        seconds, seed.
+    """
+    found = []
+    for name in scenarios:
+        for variant_name in variants:
+            variant = measure.VARIANTS[variant_name]
+            if variant_name == "plain":
+                variant = dataclasses.replace(variant, source=plain_source)
+            run = measure.measure(
+                serving_scenarios.SCENARIOS[name], variant, measure.Plan(*plan)
+            )
+            with aiomisc.entrypoint(log_config=False) as loop:
+                found.append(loop.run_until_complete(run))
+            print(measure.to_table(found[-1:]), flush=True)
+    print(measure.to_table(found))
+
+
 def main() -> None:
     """Entry point of the `lycheerock-bench` binary."""
     sys.exit(
         defopt.run(
-            [platform, targets, write_local, run_demo],
+            [platform, targets, write_local, run_demo, measure_serving],
             cli_options="all",
             short={},
         )
--- a/packages/bench/src/lycheerock_bench/_internal/fake_target.py
+++ b/packages/bench/src/lycheerock_bench/_internal/fake_target.py
@@ -10,6 +10,8 @@
 import aiohttp.web
 import msgspec
 
+COLD_FACTOR = 9.0
+
 
 @dataclasses.dataclass(frozen=True)
 class Behaviour:
@@ -21,6 +23,8 @@
       slow_ratio: Share of requests that are slow.
       slow_factor: Factor on the service time of slow requests.
       connect_ms: Time that a new connection takes.
+      cold_s: Time after this change in which service times fall from ten
+        times the normal one.
       shed_ratio: Share of requests that are shed.
       state: serving or draining.
       state_sequence: Counts changes of state.
@@ -35,6 +39,7 @@
     slow_ratio: float = 0.0
     slow_factor: float = 20.0
     connect_ms: float = 1.0
+    cold_s: float = 0.0
     shed_ratio: float = 0.0
     state: str = "serving"
     state_sequence: int = 0
@@ -56,6 +61,7 @@
         self._epoch = time.time_ns() // 1_000_000
         self._busy = 0
         self._behaviour = Behaviour()
+        self._changed_s = time.monotonic()
         self._seen: set[asyncio.BaseTransport] = set()
         self._silent: set[asyncio.BaseTransport] = set()
         self._counts: collections.Counter[str] = collections.Counter()
@@ -97,6 +103,7 @@
         time_ms = behaviour.service_time_ms * self._random.lognormvariate(
             0.0, behaviour.service_time_sigma
         )
+        time_ms *= self._cold_factor()
         if self._random.random() < behaviour.slow_ratio:
             time_ms *= behaviour.slow_factor
         self._busy += 1
@@ -106,6 +113,11 @@
         finally:
             self._busy -= 1
 
+    def _cold_factor(self) -> float:
+        cold_s = self._behaviour.cold_s
+        left_s = self._changed_s + cold_s - time.monotonic()
+        return 1.0 + COLD_FACTOR * max(0.0, left_s) / cold_s if cold_s else 1.0
+
     async def _shard(
         self, request: aiohttp.web.Request
     ) -> aiohttp.web.StreamResponse:
@@ -185,6 +197,7 @@
         self._behaviour = msgspec.json.decode(
             await request.read(), type=Behaviour
         )
+        self._changed_s = time.monotonic()
         if self._behaviour.silent_connections:
             self._silent |= self._seen
         return aiohttp.web.json_response({})
--- a/packages/bench/src/lycheerock_bench/harness.py
+++ b/packages/bench/src/lycheerock_bench/harness.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import pathlib
 import random
 import signal
@@ -38,6 +39,8 @@
       bundle: The first bundle, a JSON value; may be changed before `start`.
       settings: Settings of each instance by id; may be changed before `start`.
       directory: Where files and logs go.
+      installed_bundle: Bundle that instances get, if not `bundle`.
+      daemon_source: Root of the tree whose daemon is run, if not this one.
     """
 
     def __init__(
@@ -65,6 +68,8 @@
         )
         self.settings = {d["instance_id"]: d for d in documents}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.installed_bundle: dict[str, Any] | None = None
+        self.daemon_source: pathlib.Path | None = None
         self._stack = contextlib.AsyncExitStack()
 
     async def start(self, *, separate_targets: bool = False) -> None:
@@ -80,7 +85,8 @@
         _write(self.directory / "bundle.json", self.bundle)
         self.start_platform()
         self._start_targets(separate=separate_targets)
-        await demo.install(self.session, self.platform, self.bundle)
+        bundle = self.installed_bundle or self.bundle
+        await demo.install(self.session, self.platform, bundle)
         await self.set_listed(list(self.settings))
         for instance_id in self.settings:
             self.start_instance(instance_id)
@@ -123,8 +129,20 @@
                 [sys.executable, "-m", module, *arguments],
                 stdout=log,
                 stderr=subprocess.STDOUT,
+                env=self._environment(module),
             )
 
+    def _environment(self, module: str) -> dict[str, str]:
+        environment = dict(os.environ)
+        if module == "lycheerock" and self.daemon_source is not None:
+            packages = self.daemon_source / "packages"
+            paths = [
+                str(packages / name / "src")
+                for name in ("model", "protocol", "daemon")
+            ]
+            environment["PYTHONPATH"] = os.pathsep.join(paths)
+        return environment
+
     def targets(self) -> list[dict[str, Any]]:
         """Returns all targets of the bundle."""
         services = self.bundle["services"]
