--- a/packages/bench/src/lycheerock_bench/__main__.py
+++ b/packages/bench/src/lycheerock_bench/__main__.py
@@ -13,6 +13,8 @@
 from lycheerock_bench._internal import deployments
 from lycheerock_bench._internal import fake_platform
 from lycheerock_bench._internal import fake_target
+from lycheerock_bench._internal import measure_costs as costs
+from lycheerock_bench._internal import measure_ownership as ownership
 from lycheerock_bench._internal import measure_serving as measure
 from lycheerock_bench._internal import serving
 from lycheerock_bench._internal import serving_scenarios
@@ -144,11 +146,52 @@
     print(measure.to_table(found))
 
 
+def measure_costs(*, duration: float = 8.0) -> None:
+    """Measures processor time and memory per shard request and per target.
+
+    Args:
+      duration: Measured seconds per run.
+    """
+    with aiomisc.entrypoint(log_config=False) as loop:
+        for relayed in (False, True):
+            for shard_count, rate in ((10, 40.0), (98, 4.0), (980, 0.5)):
+                run = costs.measure_fan_out(
+                    shard_count, rate, duration, relayed=relayed
+                )
+                _print_json(loop.run_until_complete(run))
+        for target_count in (30, 300, 2_700):
+            run_bundle = costs.measure_bundle(target_count)
+            _print_json(loop.run_until_complete(run_bundle))
+
+
+def measure_ownership(*, instances: int = 5, targets: int = 2_700) -> None:
+    """Compares ways to assign targets to instances.
+
+    Args:
+      instances: Instances before one is added.
+      targets: Number of targets.
+    """
+    for result in ownership.compare(instances, targets):
+        _print_json(result)
+
+
+def _print_json(value: object) -> None:
+    print(msgspec.json.encode(value).decode(), flush=True)
+
+
 def main() -> None:
     """Entry point of the `lycheerock-bench` binary."""
     sys.exit(
         defopt.run(
-            [platform, targets, write_local, run_demo, measure_serving],
+            [
+                platform,
+                targets,
+                write_local,
+                run_demo,
+                measure_serving,
+                measure_costs,
+                measure_ownership,
+            ],
             cli_options="all",
             short={},
         )
--- a/packages/bench/src/lycheerock_bench/harness.py
+++ b/packages/bench/src/lycheerock_bench/harness.py
@@ -72,11 +72,14 @@
         self.daemon_source: pathlib.Path | None = None
         self._stack = contextlib.AsyncExitStack()
 
-    async def start(self, *, separate_targets: bool = False) -> None:
+    async def start(
+        self, *, separate_targets: bool = False, with_targets: bool = True
+    ) -> None:
         """Starts all processes and waits until every instance is ready.
 
         Args:
           separate_targets: Whether each target gets a process of its own.
+          with_targets: Whether targets are started at all.
         """
         self.directory.mkdir(parents=True, exist_ok=True)
         self.session = await self._stack.enter_async_context(
@@ -84,7 +87,8 @@
         )
         _write(self.directory / "bundle.json", self.bundle)
         self.start_platform()
-        self._start_targets(separate=separate_targets)
+        if with_targets:
+            self._start_targets(separate=separate_targets)
         bundle = self.installed_bundle or self.bundle
         await demo.install(self.session, self.platform, bundle)
         await self.set_listed(list(self.settings))
@@ -315,4 +319,4 @@
 
 
 def _write(path: pathlib.Path, document: object) -> None:
-    path.write_text(json.dumps(document, indent=2) + "\n", encoding="utf-8")
+    path.write_text(json.dumps(document) + "\n", encoding="utf-8")
