Add the life cycle of bundles and the platform client

Cause: instances polled the platform every second and took any number that was in force there; there was no sign-off, no acknowledgement and no rule for an instance that missed an acceptance. Change: PlatformClient has conditional create and update, watch and the list of instances, counts calls by kind and settles lost replies by a nonce. New in bundles/: state machines of instance and coordinator, admission gate, learner, watcher, guard, coordinator, operator actions, and their HTTP routes. BundleStatus is a new call between instances; Stage carries a contact token. Conclusion: the signatures in bundles/actions.py are meant to stay.

--- a/packages/bench/src/lycheerock_bench/_internal/demo.py
+++ b/packages/bench/src/lycheerock_bench/_internal/demo.py
@@ -1,10 +1,12 @@
 """One search and one booking against a local deployment."""
 
 import asyncio
+import hashlib
 import json
 from typing import Any
 
 import aiohttp
+import msgspec
 
 from lycheerock_bench._internal import deployments
 
@@ -36,16 +38,25 @@
 async def install(
     session: aiohttp.ClientSession, platform: str, bundle: dict[str, Any]
 ) -> None:
-    """Stores a first bundle at the platform and puts it in force."""
+    """Stores a first, signed bundle at the platform and puts it in force."""
     base = f"http://{platform}/objects"
     number = bundle["number"]
     url = f"{base}/bundles/{number}?if_version=0"
     for _ in range(READY_ATTEMPTS):
         try:
-            async with session.put(url, json=bundle):
+            async with session.put(url, json={"bundle": bundle}):
                 break
         except aiohttp.ClientConnectorError:
             await asyncio.sleep(READY_DELAY_S)
+    text = msgspec.json.encode(bundle, order="deterministic")
+    signoff = {
+        "number": number,
+        "signer": "local-signer",
+        "sha256": hashlib.sha256(text).hexdigest(),
+    }
+    url = f"{base}/signoffs/{number}?if_version=0"
+    async with session.put(url, json=signoff):
+        pass
     rollout = {"in_force": number, "staging": 0, "coordinator": "", "epoch": 0}
     url = f"{base}/rollout/current?if_version=0"
     async with session.put(url, json=rollout):
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/bundles/catalog.py
@@ -0,0 +1,191 @@
+"""Reads and creates the objects of the bundle life cycle."""
+
+import dataclasses
+from typing import TypeVar
+
+import msgspec
+from returns import result
+
+from lycheerock._internal.bundles import records
+from lycheerock._internal.platform import client as client_lib
+from lycheerock_model import exceptions
+
+T = TypeVar("T")
+Outcome = result.Result[T, exceptions.LycheerockError]
+
+
+@dataclasses.dataclass(frozen=True)
+class VersionedRollout:
+    """The object `rollout/current`; version 0 if it does not exist."""
+
+    version: int
+    rollout: records.Rollout
+
+
+class Catalog:
+    """Proposals, sign-offs and the rollout object at the platform."""
+
+    def __init__(self, platform: client_lib.PlatformClient):
+        self._platform = platform
+
+    async def numbers(self) -> Outcome[tuple[int, ...]]:
+        """Returns the numbers of all proposals."""
+        names = await self._platform.list_names(records.BUNDLES)
+        if isinstance(names, result.Failure):
+            return result.Failure(names.failure())
+        return result.Success(
+            tuple(int(name) for name in names.unwrap() if name.isdecimal())
+        )
+
+    async def highest_number(self) -> Outcome[int]:
+        """Returns the highest number of a proposal, 0 if there is none."""
+        numbers = await self.numbers()
+        return numbers.map(lambda found: max(found, default=0))
+
+    async def read_rollout(self) -> Outcome[VersionedRollout]:
+        """Reads the object `rollout/current`."""
+        found = await self._platform.get(records.ROLLOUT, records.CURRENT)
+        if isinstance(found, result.Failure):
+            return result.Failure(found.failure())
+        stored = found.unwrap()
+        if stored is None:
+            return result.Success(VersionedRollout(0, records.Rollout()))
+        rollout = records.parse_rollout(stored.value)
+        return result.Success(VersionedRollout(stored.version, rollout))
+
+    async def update_rollout(
+        self, rollout: records.Rollout, if_version: int, nonce: str
+    ) -> Outcome[VersionedRollout]:
+        """Replaces `rollout/current` if its version is `if_version`."""
+        written = await self._platform.update(
+            records.ROLLOUT,
+            records.CURRENT,
+            msgspec.to_builtins(rollout),
+            if_version,
+            nonce,
+        )
+        if isinstance(written, result.Failure):
+            return result.Failure(written.failure())
+        return result.Success(
+            VersionedRollout(written.unwrap().version, rollout)
+        )
+
+    async def read_proposal(self, number: int) -> Outcome[records.Proposal]:
+        """Reads `bundles/N`; a BadRequestError if there is none."""
+        found = await self._platform.get(records.BUNDLES, str(number))
+        if isinstance(found, result.Failure):
+            return result.Failure(found.failure())
+        stored = found.unwrap()
+        if stored is None:
+            return result.Failure(
+                exceptions.BadRequestError(
+                    f"there is no bundle {number}",
+                    "look up the number in the history",
+                )
+            )
+        try:
+            return result.Success(records.parse_proposal(stored.value))
+        except msgspec.ValidationError as error:
+            return result.Failure(_malformed(f"bundles/{number}", error))
+
+    async def read_signoff(
+        self, number: int
+    ) -> Outcome[records.Signoff | None]:
+        """Reads `signoffs/N`; None if nobody has signed."""
+        found = await self._platform.get(records.SIGNOFFS, str(number))
+        if isinstance(found, result.Failure):
+            return result.Failure(found.failure())
+        stored = found.unwrap()
+        if stored is None:
+            return result.Success(None)
+        try:
+            return result.Success(records.parse_signoff(stored.value))
+        except msgspec.ValidationError as error:
+            return result.Failure(_malformed(f"signoffs/{number}", error))
+
+    async def read_signed(self, number: int) -> Outcome[records.SignedBundle]:
+        """Reads and checks a bundle with its sign-off."""
+        found = await self.read_proposal(number)
+        if isinstance(found, result.Failure):
+            return result.Failure(found.failure())
+        signoff = await self.read_signoff(number)
+        if isinstance(signoff, result.Failure):
+            return result.Failure(signoff.failure())
+        proposal = found.unwrap()
+        signed = signoff.unwrap()
+        if signed is None:
+            return result.Failure(
+                exceptions.ForbiddenError(
+                    f"bundle {number} is not signed",
+                    f"let an operator other than {proposal.author} sign it",
+                )
+            )
+        bundle = records.SignedBundle(proposal.bundle, signed)
+        try:
+            records.verify(bundle, number)
+        except exceptions.DocumentError as error:
+            return result.Failure(error)
+        return result.Success(bundle)
+
+    async def create_proposal(
+        self, proposal: records.Proposal
+    ) -> Outcome[client_lib.Object]:
+        """Creates `bundles/N`; a ConflictError names who was first."""
+        number = proposal.number
+        created = await self._platform.create(
+            records.BUNDLES, str(number), msgspec.to_builtins(proposal)
+        )
+        if _is_conflict(created):
+            conflict = await self.describe_conflict(number, number + 1)
+            return result.Failure(conflict)
+        return created.alt(_widen)
+
+    async def describe_conflict(
+        self, number: int, next_number: int
+    ) -> exceptions.ConflictError:
+        """Returns the error of a proposer whose number cannot be used."""
+        found = await self.read_proposal(number)
+        if isinstance(found, result.Failure):
+            problem = f"bundle {number} cannot be proposed"
+        else:
+            problem = f"bundle {number} is by {found.unwrap().author}"
+        return exceptions.ConflictError(
+            problem,
+            f"compare with the latest bundle and propose {next_number}",
+        )
+
+    async def create_signoff(
+        self, signoff: records.Signoff
+    ) -> Outcome[client_lib.Object]:
+        """Creates `signoffs/N`; a ConflictError names an earlier signer."""
+        number = signoff.number
+        created = await self._platform.create(
+            records.SIGNOFFS, str(number), msgspec.to_builtins(signoff)
+        )
+        if not _is_conflict(created):
+            return created.alt(_widen)
+        earlier = (await self.read_signoff(number)).value_or(None)
+        signer = earlier.signer if earlier is not None else "another operator"
+        return result.Failure(
+            exceptions.ConflictError(
+                f"bundle {number} is already signed by {signer}",
+                "roll it out, or propose another bundle",
+            )
+        )
+
+
+def _is_conflict(written: client_lib.Written) -> bool:
+    return isinstance(written, result.Failure) and isinstance(
+        written.failure(), exceptions.ConflictError
+    )
+
+
+def _widen(error: exceptions.LycheerockError) -> exceptions.LycheerockError:
+    return error
+
+
+def _malformed(
+    name: str, error: msgspec.ValidationError
+) -> exceptions.LycheerockError:
+    fault = exceptions.Fault(name, str(error), "propose a new bundle")
+    return exceptions.DocumentError(name, (fault,))
--- a/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
@@ -12,8 +12,10 @@
 from lycheerock._internal.booking import forwarding
 from lycheerock._internal.booking import keys
 from lycheerock._internal.booking import runner as runner_lib
+from lycheerock._internal.bundles import build as bundles_build
+from lycheerock._internal.bundles import gate as gate_lib
+from lycheerock._internal.bundles import network as network_lib
 from lycheerock._internal.bundles import store as store_lib
-from lycheerock._internal.bundles import watcher
 from lycheerock._internal.dispatch import dispatcher as dispatcher_lib
 from lycheerock._internal.dispatch import ownership
 from lycheerock._internal.dispatch import target_states as target_states_lib
@@ -35,7 +37,9 @@
     def __init__(self, settings: settings_lib.Settings):
         self._settings = settings
         self.incarnation = time.time_ns() // 1_000_000
-        self._store = store_lib.BundleStore()
+        self._store = store_lib.BundleStore(
+            gate_lib.AdmissionGate(time.monotonic())
+        )
         self._directory = directory_lib.from_settings(
             settings, self.incarnation
         )
@@ -50,6 +54,16 @@
         )
         self._store.subscribe(self._dispatcher.apply)
         self._platform = client_lib.PlatformClient(settings.platform_address)
+        configured = (
+            network_lib.PeerAddress(peer.instance_id, peer.peer_address)
+            for peer in settings.peers
+        )
+        self._bundles = bundles_build.BundleParts(
+            self._store,
+            network_lib.Network(self._directory, configured),
+            self._channels,
+            self._platform,
+        )
         table = keys.KeyTable(
             settings.instance_id, self.incarnation, time.monotonic()
         )
@@ -85,7 +99,7 @@
         stack.push_async_callback(self._platform.close)
         stack.push_async_callback(self._channels.close)
         stack.push_async_callback(self._dispatcher.close)
-        tasks = [asyncio.create_task(watcher.run(self._platform, self._store))]
+        tasks = [asyncio.create_task(self._bundles.run())]
         for link in self._links.values():
             tasks.append(asyncio.create_task(link.run()))
         for task in tasks:
@@ -101,7 +115,8 @@
         operator = operator_server.OperatorServer(
             self._settings.operator_token.get_secret_value(),
             self.dump,
-            lambda: self._store.number > 0,
+            lambda: not self._store.problem(),
+            self._bundles.actions,
         )
         await _serve(stack, entry.build(), self._settings.caller_address)
         await _serve(stack, operator.build(), self._settings.operator_address)
@@ -111,6 +126,7 @@
             self._dispatcher.submit_here,
             forwarding.serve(self._runner, self._store),
         )
+        servicer.bundle_handlers = self._bundles.handlers
         return await peer_server.start(self._settings.peer_address, servicer)
 
     def dump(self) -> dict[str, object]:
@@ -119,6 +135,7 @@
             "instance_id": self._settings.instance_id,
             "incarnation": self.incarnation,
             "bundle_number": self._store.number,
+            "bundles": self._bundles.dump(),
             "peers": {
                 name: {"address": link.address, "ready": link.is_ready}
                 for name, link in self._links.items()
--- a/packages/daemon/src/lycheerock/_internal/operator/server.py
+++ b/packages/daemon/src/lycheerock/_internal/operator/server.py
@@ -8,23 +8,37 @@
 
 import aiohttp.web
 
+from lycheerock._internal.bundles import actions as actions_lib
+from lycheerock._internal.operator import bundle_routes
+
 Dump = Callable[[], Mapping[str, Any]]
 
 
 class OperatorServer:
     """Serves operators; every path under /ops/ needs the operator token."""
 
-    def __init__(self, token: str, dump: Dump, is_ready: Callable[[], bool]):
+    def __init__(
+        self,
+        token: str,
+        dump: Dump,
+        is_ready: Callable[[], bool],
+        actions: actions_lib.Actions,
+    ):
         self._token = token
+        self._actions = actions
         self._dump = dump
         self._is_ready = is_ready
 
     def build(self) -> aiohttp.web.Application:
         """Returns the aiohttp application."""
-        app = aiohttp.web.Application(middlewares=[self._authenticate])
+        app = aiohttp.web.Application(
+            middlewares=[self._authenticate],
+            client_max_size=bundle_routes.BODY_SIZE_MAX_BYTES,
+        )
         app.router.add_get("/healthz", self._health)
         app.router.add_get("/readyz", self._ready)
         app.router.add_get("/ops/state", self._state)
+        bundle_routes.add_routes(app.router, self._actions)
         return app
 
     @aiohttp.web.middleware
--- a/packages/daemon/src/lycheerock/_internal/peers/server.py
+++ b/packages/daemon/src/lycheerock/_internal/peers/server.py
@@ -9,6 +9,7 @@
 
 import grpc
 
+from lycheerock._internal.bundles import handlers as bundle_handlers
 from lycheerock._internal.dispatch import work as work_lib
 from lycheerock._internal.peers import channels
 from lycheerock._internal.peers import links
@@ -76,7 +77,7 @@
             future.cancel()
 
 
-class PeerServicer(peer_pb2_grpc.PeerServicer):
+class PeerServicer(bundle_handlers.BundleServicer, peer_pb2_grpc.PeerServicer):
     """Serves other instances."""
 
     def __init__(self, submit: Submit, run_keyed: RunKeyed):
--- a/packages/model/src/lycheerock_model/exceptions.py
+++ b/packages/model/src/lycheerock_model/exceptions.py
@@ -118,6 +118,10 @@
     kind = ErrorKind.PLATFORM
 
 
+class OutcomeUnknownError(PlatformError):
+    """A write may have taken effect, or may still do so."""
+
+
 class DocumentError(LycheerockError):
     """A settings file or bundle is invalid.
 
