Test rollouts in separate processes and check the recorded answers

Cause: the life cycle of bundles had no test; a coordinator whose acceptance had an unknown outcome did not notice when a watch brought the result. A recorder sends searches to every instance, and a checker compares the numbers with the platform's writes. The coordinator ends its attempts when its own instance has the bundle.

--- a/features/environment.py
+++ b/features/environment.py
@@ -16,10 +16,13 @@
     """Makes a directory for the scenario's files and logs."""
     context.directory = pathlib.Path(tempfile.mkdtemp(prefix="lycheerock-"))
     context.deployment = None
+    context.recorder = None
 
 
 def after_scenario(context: Any, scenario: Any) -> None:
     """Ends the scenario's processes; keeps the files if it failed."""
+    if context.recorder is not None:
+        context.loop.run_until_complete(context.recorder.stop())
     if context.deployment is not None:
         context.loop.run_until_complete(context.deployment.stop())
     if scenario.status.has_failed():
--- /dev/null
+++ b/packages/bench/src/lycheerock_bench/bundle_recorder.py
@@ -0,0 +1,70 @@
+"""Sends searches to every instance and records the numbers in the answers."""
+
+import asyncio
+import contextlib
+import time
+from typing import Any
+
+import aiohttp
+
+from lycheerock_bench import harness
+from lycheerock_bench._internal import bundle_history
+
+REQUEST_PERIOD_S = 0.02
+REQUEST_TIMEOUT_S = 1.0
+
+
+class Recorder:
+    """One task per instance, until `stop`."""
+
+    def __init__(self, deployment: harness.Deployment, service: str):
+        self._deployment = deployment
+        self._service = service
+        self.answers: list[bundle_history.AnswerSeen] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Starts to send."""
+        self._tasks = [
+            asyncio.create_task(self._run(instance_id))
+            for instance_id in self._deployment.settings
+        ]
+
+    async def stop(self) -> None:
+        """Stops sending and waits for the end of the tasks."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks.clear()
+
+    async def _run(self, instance_id: str) -> None:
+        while True:
+            with contextlib.suppress(
+                aiohttp.ClientError, TimeoutError, ValueError
+            ):
+                await self._send(instance_id)
+            await asyncio.sleep(REQUEST_PERIOD_S)
+
+    async def _send(self, instance_id: str) -> None:
+        sent_s = time.monotonic()
+        async with asyncio.timeout(REQUEST_TIMEOUT_S):
+            answer = await self._deployment.search(instance_id, self._service)
+        if answer.get("outcome") == "done":
+            self.answers.append(
+                bundle_history.AnswerSeen(
+                    instance_id,
+                    sent_s,
+                    time.monotonic(),
+                    answer["bundle_number"],
+                )
+            )
+
+    async def violations(self) -> list[str]:
+        """Checks all answers against what the platform recorded."""
+        writes: list[dict[str, Any]] = await self._deployment.platform_control(
+            "writes"
+        )
+        signed = [int(w["name"]) for w in writes if w["kind"] == "signoffs"]
+        return bundle_history.check(
+            self.answers, bundle_history.read_acceptances(writes), signed
+        )
--- a/packages/bench/src/lycheerock_bench/harness.py
+++ b/packages/bench/src/lycheerock_bench/harness.py
@@ -245,6 +245,12 @@
         async with self.session.get(url) as reply:
             return await reply.json()
 
+    async def platform_control(self, name: str) -> Any:
+        """Returns what the fake platform recorded: client_counts or writes."""
+        url = f"http://{self.platform}/control/{name}"
+        async with self.session.get(url) as reply:
+            return await reply.json()
+
     async def set_listed(
         self, live: list[str], leaving: list[str] | None = None
     ) -> None:
--- a/packages/daemon/src/lycheerock/_internal/bundles/coordination.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/coordination.py
@@ -169,6 +169,12 @@
         )
 
     async def _accept(self) -> None:
+        """Writes the acceptance, again and again once it may be on its way.
+
+        Every attempt has the same nonce and the same expected version, so at
+        most one takes effect. A pause of this process does no harm: a takeover
+        in the meantime has used up the version.
+        """
         opened = self._opened.rollout
         accepted = records.Rollout(
             in_force=opened.staging,
@@ -179,7 +185,7 @@
         nonce = client_lib.new_nonce()
         backoff = backoff_lib.Backoff()
         was_sent = False
-        while True:
+        while self.state.phase is coordinator_state.Phase.ACCEPTING:
             written = await self._parts.catalog.update_rollout(
                 accepted, self._opened.version, nonce
             )
@@ -197,6 +203,12 @@
                 self.state.accept_was_not_sent()
                 return
             await asyncio.sleep(backoff.next_s())
+            self._notice_result()
+
+    def _notice_result(self) -> None:
+        """Ends the attempts if a watch or a peer has brought the result."""
+        if self._parts.learner.store.number >= self.state.number:
+            self.state.finish(accepted=True)
 
     async def _resolve_conflict(self) -> None:
         """Another write came after this epoch's; reads whether it accepted."""
--- a/packages/daemon/src/lycheerock/_internal/bundles/instance_state.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/instance_state.py
@@ -228,5 +228,6 @@
         if self.staging <= self.in_force:
             return False
         doublings = min(self._takeover_count, TAKEOVER_DOUBLINGS_MAX)
-        limit_s: float = (TAKEOVER_AFTER_S + rank * TAKEOVER_STEP_S) * 2**doublings
+        turn_s = TAKEOVER_AFTER_S + rank * TAKEOVER_STEP_S
+        limit_s: float = turn_s * 2**doublings
         return now_s - self._heard_s > limit_s
--- a/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
@@ -53,7 +53,9 @@
             settings.instance_id, self._candidates, self._links
         )
         self._store.subscribe(self._dispatcher.apply)
-        self._platform = client_lib.PlatformClient(settings.platform_address)
+        self._platform = client_lib.PlatformClient(
+            settings.platform_address, settings.instance_id
+        )
         configured = (
             network_lib.PeerAddress(peer.instance_id, peer.peer_address)
             for peer in settings.peers
--- a/packages/daemon/src/lycheerock/_internal/platform/client.py
+++ b/packages/daemon/src/lycheerock/_internal/platform/client.py
@@ -58,12 +58,13 @@
 class PlatformClient:
     """Calls the object API and counts every call by kind."""
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, instance_id: str = ""):
         self._base_url = f"http://{address}"
         self._session = aiohttp.ClientSession(
+            headers={"User-Agent": f"lycheerock/{instance_id}"},
             timeout=aiohttp.ClientTimeout(
                 total=CALL_TIMEOUT_S, connect=CONNECT_TIMEOUT_S
-            )
+            ),
         )
         self.call_counts: collections.Counter[str] = collections.Counter()
 
