Add metrics of caller requests

Cause: operators had no figures for latency, coverage and extra load.

Change: RequestMetrics.observe_request counts each caller request once, with its outcome, shards and attempts, and records its latency in an hdrhistogram per service. Label values are bounded (200 per label, then "other"). The text exposition format writes buckets, because buckets of several instances can be added; /ops/stats will carry the encoded histogram for the same reason.

--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,110 @@
+"""Tests of the metrics of caller requests and of their text format."""
+
+import re
+
+from hdrh import histogram
+import pytest
+
+from lycheerock._internal.operator import exposition
+from lycheerock._internal.operator import metrics as metrics_lib
+
+SAMPLE_LINE = re.compile(
+    r'^[a-z_]+(\{[a-z]+="([^"\\]|\\.)*"(,[a-z]+="([^"\\]|\\.)*")*\})? \S+$'
+)
+
+
+def observe(
+    metrics: metrics_lib.RequestMetrics,
+    *,
+    service: str = "portal",
+    caller: str = "web",
+    elapsed_s: float = 0.004,
+    extra_attempt_count: int = 2,
+) -> None:
+    metrics.observe_request(
+        service, caller, "done", elapsed_s, 5, 1, 6, extra_attempt_count
+    )
+
+
+class TestRequestMetrics:
+    """Counting of caller requests."""
+
+    def test_attempts_do_not_count_as_requests(self) -> None:
+        # Guards against a request count that grows with hedges and retries.
+        metrics = metrics_lib.RequestMetrics()
+        observe(metrics, extra_attempt_count=7)
+        assert metrics.counts["portal"].outcomes == {"done": 1}
+        assert metrics.counts["portal"].extra_attempts == 7
+        assert metrics.latencies["portal"].get_total_count() == 1
+
+    def test_label_values_are_bounded(self) -> None:
+        # Guards against metrics that grow with every new name.
+        metrics = metrics_lib.RequestMetrics(label_values_max=3)
+        for number in range(50):
+            observe(metrics, service=f"s{number}", caller=f"c{number}")
+        assert len(metrics.counts) == 4
+        assert len(metrics.latencies) == 4
+        assert metrics.requests_by_caller[metrics_lib.OTHER_LABEL] == 47
+
+    @pytest.mark.parametrize("elapsed_s", [-1.0, 0.0, 5_000.0])
+    def test_elapsed_out_of_range_is_recorded(self, elapsed_s: float) -> None:
+        # Guards against a lost sample when a value is out of range.
+        metrics = metrics_lib.RequestMetrics()
+        observe(metrics, elapsed_s=elapsed_s)
+        assert metrics.latencies["portal"].get_total_count() == 1
+
+    def test_histograms_of_instances_can_be_added(self) -> None:
+        # Guards against statistics from which no joint quantile follows.
+        one, two = metrics_lib.RequestMetrics(), metrics_lib.RequestMetrics()
+        for _ in range(99):
+            observe(one, elapsed_s=0.001)
+        observe(two, elapsed_s=1.0)
+        joint = metrics_lib.new_histogram()
+        for metrics in (one, two):
+            encoded = metrics.statistics()["portal"]["histogram"]
+            joint.add(histogram.HdrHistogram.decode(encoded))
+        assert joint.get_total_count() == 100
+        quantiles = metrics_lib.quantiles_ms(joint)
+        assert quantiles["p99"] == pytest.approx(1.0, rel=0.02)
+        assert quantiles["p99.9"] == pytest.approx(1000.0, rel=0.02)
+
+
+class TestExposition:
+    """The text exposition format."""
+
+    def test_every_line_is_a_comment_or_a_sample(self) -> None:
+        # Guards against text that a scraper rejects.
+        metrics = metrics_lib.RequestMetrics()
+        observe(metrics, caller='a"b\\c\nd')
+        metrics.observe_refusal("overloaded")
+        for line in exposition.write(metrics, ()).splitlines():
+            assert line.startswith("# ") or SAMPLE_LINE.match(line), line
+
+    def test_buckets_are_cumulative_up_to_the_count(self) -> None:
+        # Guards against buckets that count each sample only once.
+        metrics = metrics_lib.RequestMetrics()
+        for elapsed_s in (0.002, 0.002, 0.02, 45.0):
+            observe(metrics, elapsed_s=elapsed_s)
+        text = exposition.write(metrics, ())
+        prefix = "lycheerock_request_duration_seconds_"
+        label = 'service="portal"'
+        assert f'{prefix}bucket{{{label},le="0.0025"}} 2\n' in text
+        assert f'{prefix}bucket{{{label},le="0.025"}} 3\n' in text
+        assert f'{prefix}bucket{{{label},le="30.0"}} 3\n' in text
+        assert f'{prefix}bucket{{{label},le="+Inf"}} 4\n' in text
+        assert f"{prefix}count{{{label}}} 4\n" in text
+
+    def test_shards_and_attempts_are_written(self) -> None:
+        # Guards against the extra load on targets being left out.
+        metrics = metrics_lib.RequestMetrics()
+        observe(metrics)
+        text = exposition.write(metrics, ())
+        for line in (
+            'lycheerock_requests_total{service="portal",outcome="done"} 1',
+            'lycheerock_covered_shards_total{service="portal"} 5',
+            'lycheerock_lacking_shards_total{service="portal"} 1',
+            'lycheerock_first_attempts_total{service="portal"} 6',
+            'lycheerock_extra_attempts_total{service="portal"} 2',
+            'lycheerock_caller_requests_total{caller="web"} 1',
+        ):
+            assert line + "\n" in text
