Split the operator interface by concern and make all logs JSON lines

Cause: the operator interface had one view and plain-text errors, libraries wrote plain text to stderr, and nothing kept tokens out of the log.

Change: routes are grouped into health, state, metrics and actions; errors are typed JSON with a remedy; bodies are bounded.

Conclusion: request records come from query/records.py through a Protocol; the daemon uses an empty one until it lands.

--- a/packages/daemon/src/lycheerock/__main__.py
+++ b/packages/daemon/src/lycheerock/__main__.py
@@ -30,7 +30,12 @@
     if check:
         print(f"{settings}: no faults")
         return 0
-    logs.configure(loaded.log_level, loaded.instance_id, loaded.zone)
+    logs.configure(
+        loaded.log_level,
+        loaded.instance_id,
+        loaded.zone,
+        [loaded.operator_token.get_secret_value()],
+    )
     with aiomisc.entrypoint(log_config=False, pool_size=2) as loop:
         loop.run_until_complete(_run(loaded))
     return 0
--- a/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
@@ -18,8 +18,10 @@
 from lycheerock._internal.dispatch import ownership
 from lycheerock._internal.dispatch import target_states as target_states_lib
 from lycheerock._internal.entry import server as entry_server
+from lycheerock._internal.lifecycle import operator_wiring
 from lycheerock._internal.membership import directory as directory_lib
-from lycheerock._internal.operator import server as operator_server
+from lycheerock._internal.operator import metrics as metrics_lib
+from lycheerock._internal.operator import views
 from lycheerock._internal.peers import channels as channels_lib
 from lycheerock._internal.peers import links as links_lib
 from lycheerock._internal.peers import server as peer_server
@@ -41,6 +43,10 @@
         )
         self._channels = channels_lib.Channels()
         self._target_states = target_states_lib.TargetStates()
+        self._bundle_view = views.BundleView()
+        self._store.subscribe(self._bundle_view.apply)
+        self._metrics = metrics_lib.RequestMetrics()
+        self._stop = asyncio.Event()
         self._links = {
             peer.instance_id: links_lib.PeerLink(peer.peer_address)
             for peer in self._directory.peers()
@@ -71,14 +77,13 @@
 
     async def run(self) -> None:
         """Serves until SIGTERM or SIGINT."""
-        stop = asyncio.Event()
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signal_number, stop.set)
+            loop.add_signal_handler(signal_number, self._stop.set)
         async with contextlib.AsyncExitStack() as stack:
             await self._start(stack)
             _LOG.info("started", incarnation=self.incarnation)
-            await stop.wait()
+            await self._stop.wait()
             _LOG.info("stopping")
 
     async def _start(self, stack: contextlib.AsyncExitStack) -> None:
@@ -98,13 +103,24 @@
             self._dispatcher,
             self._runner,
         )
-        operator = operator_server.OperatorServer(
-            self._settings.operator_token.get_secret_value(),
-            self.dump,
-            lambda: self._store.number > 0,
-        )
         await _serve(stack, entry.build(), self._settings.caller_address)
-        await _serve(stack, operator.build(), self._settings.operator_address)
+        operator = operator_wiring.build(self._operator_parts())
+        await _serve(stack, operator, self._settings.operator_address)
+
+    def _operator_parts(self) -> operator_wiring.Parts:
+        return operator_wiring.Parts(
+            settings=self._settings,
+            dump=self.dump,
+            is_ready=lambda: self._store.number > 0,
+            is_stopping=self._stop.is_set,
+            directory=self._directory,
+            bundle=self._bundle_view,
+            dispatch_state=self._dispatcher.state,
+            target_states=self._target_states,
+            records=_NoRecords(),
+            metrics=self._metrics,
+            platform_calls=self._platform.call_counts,
+        )
 
     async def _start_peer_server(self) -> grpc.aio.Server:
         servicer = peer_server.PeerServicer(
@@ -129,6 +145,13 @@
         }
 
 
+class _NoRecords:
+    """Stands in until request records are kept."""
+
+    def find(self, request_id: str) -> None:
+        """Returns None."""
+
+
 async def _serve(
     stack: contextlib.AsyncExitStack,
     app: aiohttp.web.Application,
--- a/packages/daemon/src/lycheerock/_internal/lifecycle/logs.py
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/logs.py
@@ -1,6 +1,11 @@
 """JSON-lines logs with a level that can be changed at run time."""
 
+from collections.abc import Iterable
+import json
 import logging
+import re
+import sys
+import types
 
 import structlog
 
@@ -11,27 +16,89 @@
     "error": logging.ERROR,
 }
 
+REDACTED = "[redacted]"
+_BEARER = re.compile(r"(?i)bearer\s+[^\s\"'\\]+")
 
-def configure(level: str, instance_id: str, zone: str) -> None:
+
+def configure(
+    level: str, instance_id: str, zone: str, secrets: Iterable[str] = ()
+) -> None:
     """Sets up the log of the process.
 
+    Lines of libraries, Python warnings and uncaught exceptions go through the
+    same log, so that stderr holds only JSON lines.
+
     Args:
       level: Least severe level that is logged.
       instance_id: Instance named in each line.
       zone: Availability zone named in each line.
+      secrets: Texts that never appear in a line.
     """
+    shared: list[structlog.types.Processor] = [
+        structlog.contextvars.merge_contextvars,
+        _add_origin(instance_id, zone),
+        structlog.processors.add_log_level,
+        structlog.processors.TimeStamper(fmt="iso", utc=True),
+        structlog.processors.format_exc_info,
+    ]
+    render: list[structlog.types.Processor] = [
+        structlog.processors.JSONRenderer(),
+        _redact(secrets),
+    ]
     structlog.configure(
-        processors=[
-            structlog.contextvars.merge_contextvars,
-            _add_origin(instance_id, zone),
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.format_exc_info,
-            structlog.processors.JSONRenderer(),
-        ],
+        processors=[*shared, *render],
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
         wrapper_class=structlog.make_filtering_bound_logger(_LEVELS[level]),
         cache_logger_on_first_use=False,
     )
+    _configure_libraries(level, shared, render)
+    sys.excepthook = _log_uncaught
+
+
+def _configure_libraries(
+    level: str,
+    shared: list[structlog.types.Processor],
+    render: list[structlog.types.Processor],
+) -> None:
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        structlog.stdlib.ProcessorFormatter(
+            foreign_pre_chain=[structlog.stdlib.add_logger_name, *shared],
+            processors=[
+                structlog.stdlib.ProcessorFormatter.remove_processors_meta,
+                *render,
+            ],
+        )
+    )
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(_LEVELS[level])
+    logging.captureWarnings(True)
+
+
+def set_level(level: str) -> None:
+    """Changes the least severe level that is logged.
+
+    Args:
+      level: One of debug, info, warning, error.
+    """
+    structlog.configure(
+        **(
+            structlog.get_config()
+            | {
+                "wrapper_class": structlog.make_filtering_bound_logger(
+                    _LEVELS[level]
+                )
+            }
+        )
+    )
+    logging.getLogger().setLevel(_LEVELS[level])
+
+
+def get_level() -> str:
+    """Returns the least severe level that is logged."""
+    number = logging.getLogger().level
+    return next(name for name, n in _LEVELS.items() if n == number)
 
 
 def _add_origin(instance_id: str, zone: str) -> structlog.types.Processor:
@@ -43,3 +110,23 @@
         return event
 
     return add
+
+
+def _redact(secrets: Iterable[str]) -> structlog.types.Processor:
+    """Removes secrets from the rendered line, wherever they stand in it."""
+    texts = [json.dumps(secret)[1:-1] for secret in secrets]
+
+    def redact(_logger: object, _name: str, line: str) -> str:
+        for text in texts:
+            line = line.replace(text, REDACTED)
+        return _BEARER.sub(f"Bearer {REDACTED}", line)
+
+    return redact  # type: ignore[return-value]
+
+
+def _log_uncaught(
+    kind: type[BaseException],
+    error: BaseException,
+    trace: types.TracebackType | None,
+) -> None:
+    structlog.get_logger().error("uncaught", exc_info=(kind, error, trace))
--- a/packages/daemon/src/lycheerock/_internal/operator/exposition.py
+++ b/packages/daemon/src/lycheerock/_internal/operator/exposition.py
@@ -9,7 +9,7 @@
 
 from lycheerock._internal.operator import metrics as metrics_lib
 
-CONTENT_TYPE = "text/plain"
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 # Upper bounds of the latency buckets in seconds. 0.15 is the target of the
 # size to design for.
--- a/packages/model/src/lycheerock_model/exceptions.py
+++ b/packages/model/src/lycheerock_model/exceptions.py
@@ -20,6 +20,7 @@
     KEY = "key"
     CONFLICT = "conflict"
     PLATFORM = "platform"
+    NOT_FOUND = "not_found"
     INTERNAL = "internal"
 
 
@@ -118,6 +119,12 @@
     kind = ErrorKind.PLATFORM
 
 
+class NotFoundError(LycheerockError):
+    """Nothing is known under that path, name or id."""
+
+    kind = ErrorKind.NOT_FOUND
+
+
 class DocumentError(LycheerockError):
     """A settings file or bundle is invalid.
 
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -12,7 +12,7 @@
 "$BIN/lycheerock-bench" platform --address 127.0.0.1:18000 & pids+=($!)
 "$BIN/lycheerock-bench" targets --bundle "$LOCAL/bundle.json" & pids+=($!)
 for settings in "$LOCAL"/i*.json; do
-  "$BIN/lycheerock" "$settings" 2>&1 >"${settings%.json}.log" & pids+=($!)
+  "$BIN/lycheerock" "$settings" >"${settings%.json}.log" 2>&1 & pids+=($!)
 done
 "$BIN/lycheerock-bench" run-demo --directory "$LOCAL"
 if [ "${KEEP:-0}" = 1 ]; then
