Add the commands of lycheectl

Cause: operators had only the offline check of a bundle.

Instances, token and operator's name come from a JSON file or the environment. Views show the instances that reply and report the others; exit code 1 only if none replies. An action is sent to one instance that is known to reply, and only once, because an instance whose reply is lost may have run it. Statistics add the histograms of the instances.

--- a/packages/ctl/src/lycheectl/__main__.py
+++ b/packages/ctl/src/lycheectl/__main__.py
@@ -2,35 +2,251 @@
 
 import pathlib
 import sys
+from typing import Literal
 
 import defopt
 
-from lycheerock_model import bundle_check
-from lycheerock_model import exceptions
+from lycheectl._internal import actions
+from lycheectl._internal import bundles
+from lycheectl._internal import client as client_lib
+from lycheectl._internal import fleet
+from lycheectl._internal import output
+from lycheectl._internal import runner
+from lycheectl._internal import statistics
+from lycheectl._internal import waiting
 
+LogLevel = Literal["debug", "info", "warning", "error"]
 
-def check(bundle: pathlib.Path) -> int:
+
+def check(bundle: pathlib.Path, *, json: bool = False) -> int:
     """Checks a bundle offline and reports every fault.
 
     Args:
       bundle: Bundle file, JSON.
+      json: Print JSON.
+
+    Returns:
+      Exit code.
+    """
+    return runner.run_offline(lambda: bundles.check(bundle), as_json=json)
+
+
+def diff(bundle: pathlib.Path, *, json: bool = False) -> int:
+    """Shows what a bundle would change against the one in force.
+
+    Args:
+      bundle: Bundle file, JSON.
+      json: Print JSON.
+
+    Returns:
+      Exit code.
+    """
+    return runner.run(lambda c: bundles.diff(c, bundle), as_json=json)
+
+
+def propose(bundle: pathlib.Path, *, json: bool = False) -> int:
+    """Proposes a bundle under the next number.
+
+    Args:
+      bundle: Bundle file, JSON; you become its author.
+      json: Print JSON.
+
+    Returns:
+      Exit code.
+    """
+    return runner.run(lambda c: bundles.propose(c, bundle), as_json=json)
+
+
+def sign(number: int, *, json: bool = False) -> int:
+    """Signs a bundle that another operator proposed.
+
+    Args:
+      number: Number of the bundle.
+      json: Print JSON.
+
+    Returns:
+      Exit code.
+    """
+    return runner.run(lambda c: bundles.sign(c, number), as_json=json)
+
+
+def rollout(
+    number: int,
+    *,
+    wait: bool = False,
+    timeout_s: float = 60.0,
+    replace: bool = False,
+    json: bool = False,
+) -> int:
+    """Rolls out a signed bundle.
+
+    Args:
+      number: Number of the bundle.
+      wait: Wait until every required instance has it in force.
+      timeout_s: Longest wait in seconds.
+      replace: Abandon the open rollout of a lower number.
+      json: Print JSON.
+
+    Returns:
+      Exit code.
+    """
+
+    async def act(client: client_lib.Client) -> output.Report:
+        started = await bundles.roll_out(client, number, replace=replace)
+        if started.exit_code != output.DONE or not wait:
+            return started
+        for line in started.lines:
+            runner.progress(line)
+        return await waiting.wait(client, number, timeout_s, runner.progress)
+
+    return runner.run(act, as_json=json)
+
+
+def status(*, json: bool = False) -> int:
+    """Shows the rollout, who has which bundle in force, and recent bundles.
+
+    Args:
+      json: Print JSON.
+
+    Returns:
+      Exit code.
+    """
+    return runner.run(bundles.status, as_json=json)
+
+
+def rollback(number: int, *, json: bool = False) -> int:
+    """Proposes the content of an old bundle under a new number.
+
+    Args:
+      number: Number of the old bundle.
+      json: Print JSON.
+
+    Returns:
+      Exit code.
+    """
+    return runner.run(lambda c: bundles.roll_back(c, number), as_json=json)
+
+
+def instances(*, json: bool = False) -> int:
+    """Shows every instance, and how others see it.
+
+    Args:
+      json: Print JSON.
+
+    Returns:
+      Exit code.
+    """
+    return runner.run(fleet.instances, as_json=json)
+
+
+def targets(*, json: bool = False) -> int:
+    """Shows every target with its owner, leaving state and load.
+
+    Args:
+      json: Print JSON.
+
+    Returns:
+      Exit code.
+    """
+    return runner.run(fleet.targets, as_json=json)
+
+
+def dump(instance: str | None = None, *, json: bool = False) -> int:
+    """Shows the state of one process, or of all.
+
+    Args:
+      instance: Instance id; all if absent.
+      json: Print JSON.
 
     Returns:
       Exit code.
     """
-    try:
-        bundle_check.load(bundle.read_bytes())
-    except exceptions.DocumentError as error:
-        for fault in error.faults:
-            print(f"{fault.path}: {fault.problem}; {fault.remedy}")
-        return 1
-    print(f"{bundle}: no faults")
-    return 0
+    return runner.run(lambda c: fleet.dump(c, instance), as_json=json)
+
+
+def drain_instance(instance: str, *, json: bool = False) -> int:
+    """Starts the planned stop of an instance, as SIGTERM does.
+
+    Args:
+      instance: Instance id.
+      json: Print JSON.
+
+    Returns:
+      Exit code.
+    """
+    return runner.run(
+        lambda c: actions.drain_instance(c, instance), as_json=json
+    )
+
+
+def drain_target(target: str, *, json: bool = False) -> int:
+    """Marks a target as leaving until it is started again.
+
+    Args:
+      target: Target id.
+      json: Print JSON.
+
+    Returns:
+      Exit code.
+    """
+    return runner.run(lambda c: actions.drain_target(c, target), as_json=json)
+
+
+def why(request: str, *, json: bool = False) -> int:
+    """Shows how a recent request was served.
+
+    Args:
+      request: Request id of an answer.
+      json: Print JSON.
+
+    Returns:
+      Exit code.
+    """
+    return runner.run(lambda c: actions.why(c, request), as_json=json)
+
+
+def stats(*, json: bool = False) -> int:
+    """Shows statistics per service, added over the instances.
+
+    Args:
+      json: Print JSON.
+
+    Returns:
+      Exit code.
+    """
+    return runner.run(statistics.statistics, as_json=json)
+
+
+def log_level(
+    *,
+    instance: str | None = None,
+    level: LogLevel | None = None,
+    json: bool = False,
+) -> int:
+    """Shows or changes the log level.
+
+    Args:
+      instance: Instance id; all if absent.
+      level: New level; only shown if absent.
+      json: Print JSON.
+
+    Returns:
+      Exit code.
+    """
+    return runner.run(
+        lambda c: actions.log_level(c, instance, level), as_json=json
+    )
+
+
+COMMANDS = [
+    check, diff, propose, sign, rollout, status, rollback, instances, targets,
+    dump, drain_instance, drain_target, why, stats, log_level,
+]  # fmt: skip
 
 
 def main() -> None:
     """Entry point of the `lycheectl` binary."""
-    sys.exit(defopt.run([check], cli_options="has_default", short={}))
+    sys.exit(defopt.run(COMMANDS, cli_options="has_default", short={}))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/ctl/src/lycheectl/_internal/actions.py
@@ -0,0 +1,86 @@
+"""Drains, log level, and the record of one request."""
+
+from collections.abc import Mapping
+import urllib.parse
+
+from lycheectl._internal import client as client_lib
+from lycheectl._internal import fleet
+from lycheectl._internal import output
+
+
+async def drain_instance(
+    client: client_lib.Client, instance_id: str
+) -> output.Report:
+    """Starts the planned stop of an instance."""
+    reply = await client.call(instance_id, "POST", "/ops/drain")
+    values, errors = fleet.split({instance_id: reply})
+    if errors:
+        return output.Report(None, (), errors, output.FAILED)
+    again = values[instance_id]["already_draining"]
+    text = "was draining already" if again else "drains and then stops"
+    return output.Report(values[instance_id], (f"{instance_id} {text}",))
+
+
+async def drain_target(
+    client: client_lib.Client, target_id: str
+) -> output.Report:
+    """Marks a target as leaving on every instance that replies.
+
+    The mark reaches the others by gossip, so that one reply is a success; the
+    instances that did not reply are still reported.
+    """
+    path = f"/ops/targets/{_quote(target_id)}/drain"
+    values, errors = fleet.split(await client.call_all("POST", path))
+    if not values:
+        return output.Report(None, (), errors, output.FAILED)
+    names = ", ".join(values)
+    lines = (
+        f"{target_id} is marked as leaving on {names}",
+        "the mark ends when the target is started again",
+    )
+    value = {"target_id": target_id, "marked_on": sorted(values)}
+    return output.Report(value, lines, errors)
+
+
+async def log_level(
+    client: client_lib.Client, instance_id: str | None, level: str | None
+) -> output.Report:
+    """Shows or changes the log level of one instance or of all."""
+    method = "GET" if level is None else "POST"
+    body = None if level is None else {"level": level}
+    if instance_id is None:
+        replies = await client.call_all(method, "/ops/log-level", body)
+    else:
+        replies = {
+            instance_id: await client.call(
+                instance_id, method, "/ops/log-level", body
+            )
+        }
+    values, errors = fleet.split(replies)
+    rows = [(name, value["level"]) for name, value in values.items()]
+    lines = output.table(("INSTANCE", "LOG LEVEL"), rows) if rows else ()
+    return output.Report(dict(rows), lines, errors, _all_code(errors))
+
+
+def _all_code(errors: Mapping[str, object]) -> int:
+    return output.FAILED if errors else output.DONE
+
+
+async def why(client: client_lib.Client, request_id: str) -> output.Report:
+    """Shows the record of a request from the instance that served it."""
+    path = f"/ops/requests/{_quote(request_id)}"
+    owner = request_id.partition(".")[0]
+    if owner in client.config.instances:
+        replies = {owner: await client.call(owner, "GET", path)}
+    else:
+        replies = dict(await client.call_all("GET", path))
+    values, errors = fleet.split(replies)
+    if not values:
+        return output.Report(None, (), errors, output.FAILED)
+    name, value = next(iter(values.items()))
+    lines = [f"[{name}]", *fleet.flat_lines(value["request"])]
+    return output.Report({"instance_id": name, **value}, lines)
+
+
+def _quote(name: str) -> str:
+    return urllib.parse.quote(name, safe="")
--- /dev/null
+++ b/packages/ctl/src/lycheectl/_internal/bundles.py
@@ -0,0 +1,209 @@
+"""Actions on bundles: check, diff, propose, sign, roll out, roll back."""
+
+from collections.abc import Callable
+import pathlib
+from typing import Any
+
+import msgspec
+from returns import result
+
+from lycheectl._internal import client as client_lib
+from lycheectl._internal import diff as diff_lib
+from lycheectl._internal import output
+from lycheerock_model import answers
+from lycheerock_model import bundle_check
+from lycheerock_model import documents
+from lycheerock_model import exceptions
+
+Show = Callable[[Any], list[str]]
+
+
+def read(path: pathlib.Path) -> dict[str, Any]:
+    """Reads a bundle file without checking it.
+
+    Raises:
+      OSError: The file cannot be read.
+      DocumentError: The file is not a JSON object.
+    """
+    document = documents.parse_json(str(path), path.read_bytes())
+    if not isinstance(document, dict):
+        fault = exceptions.Fault("(document)", "no object", "write an object")
+        raise exceptions.DocumentError(str(path), (fault,))
+    return document
+
+
+def check(path: pathlib.Path) -> output.Report:
+    """Checks a bundle file offline."""
+    return _check(path, path.read_bytes())
+
+
+def _check(path: pathlib.Path, text: bytes) -> output.Report:
+    try:
+        bundle_check.load(text)
+    except exceptions.DocumentError as error:
+        value = {"path": str(path), "faults": error.faults}
+        lines = output.fault_lines(error.faults)
+        return output.Report(value, lines, {}, output.FAILED)
+    value = {"path": str(path), "faults": ()}
+    return output.Report(value, (f"{path}: no faults",))
+
+
+async def diff(client: client_lib.Client, path: pathlib.Path) -> output.Report:
+    """Shows what a bundle file would change."""
+    document = read(path)
+    reply = await client.call_any("GET", "/ops/bundle-in-force")
+    if isinstance(reply, result.Failure):
+        return output.failed("diff", reply.failure())
+    in_force = reply.unwrap()
+    changes = diff_lib.compare(in_force, document)
+    head = f"{len(changes)} changes against bundle {in_force['number']}"
+    value = {"against": in_force["number"], "changes": changes}
+    return output.Report(value, (head, *diff_lib.lines(changes)))
+
+
+async def propose(
+    client: client_lib.Client, path: pathlib.Path
+) -> output.Report:
+    """Proposes a bundle file under the next number."""
+    operator = client.config.operator
+    document = {"number": 0, **read(path), "author": operator}
+    checked = _check(path, msgspec.json.encode(document))
+    if checked.exit_code != output.DONE:
+        return checked
+    body = {"operator": operator, "bundle": document}
+    reply = await client.call_any("POST", "/ops/bundles", body)
+    return _report("propose", reply, _proposed_lines)
+
+
+async def roll_back(client: client_lib.Client, number: int) -> output.Report:
+    """Proposes the content of an old bundle under a new number."""
+    body = {"operator": client.config.operator, "rollback_to": number}
+    reply = await client.call_any("POST", "/ops/bundles", body)
+    return _report("rollback", reply, _proposed_lines)
+
+
+def _proposed_lines(value: Any) -> list[str]:
+    text = f"bundle {value['number']} is proposed by {value['author']}"
+    if value["copy_of"]:
+        text += f" with the content of bundle {value['copy_of']}"
+    return [text, f"next: {value['next_step']}"]
+
+
+async def sign(client: client_lib.Client, number: int) -> output.Report:
+    """Signs a bundle that another operator proposed."""
+    body = {"operator": client.config.operator}
+    path = f"/ops/bundles/{number}/sign"
+    reply = await client.call_any("POST", path, body)
+    return _report("sign", reply, _signed_lines)
+
+
+def _signed_lines(value: Any) -> list[str]:
+    return [
+        f"bundle {value['number']} of {value['author']} is signed by "
+        f"{value['signer']}",
+        f"next: {value['next_step']}",
+    ]
+
+
+async def roll_out(
+    client: client_lib.Client, number: int, *, replace: bool
+) -> output.Report:
+    """Starts the rollout of a signed bundle."""
+    body = {
+        "operator": client.config.operator,
+        "number": number,
+        "replace": replace,
+    }
+    reply = await client.call_any("POST", "/ops/rollout", body)
+    return _report("rollout", reply, _rollout_lines)
+
+
+def _rollout_lines(value: Any) -> list[str]:
+    return [
+        f"bundle {value['number']} is being rolled out by "
+        f"{value['coordinator']}"
+    ]
+
+
+def _report(command: str, reply: client_lib.Reply, show: Show) -> output.Report:
+    if isinstance(reply, result.Failure):
+        return output.failed(command, reply.failure())
+    value = reply.unwrap()
+    return output.Report(value, show(value))
+
+
+_INSTANCE_HEADS = (
+    "INSTANCE", "REACHED", "IN FORCE", "ACKNOWLEDGED", "ADMITTING", "REQUIRED",
+    "PROBLEM",
+)  # fmt: skip
+_BUNDLE_HEADS = ("BUNDLE", "STATE", "AUTHOR", "SIGNER", "COPY OF")
+
+
+async def status(client: client_lib.Client) -> output.Report:
+    """Shows the rollout, every instance, and the latest bundles.
+
+    The first two come from the instances, so that they are shown while the
+    platform is down.
+    """
+    reply = await client.call_any("GET", "/ops/rollout")
+    if isinstance(reply, result.Failure):
+        return output.failed("status", reply.failure())
+    rollout = reply.unwrap()
+    errors = _platform_errors(rollout)
+    history = await client.call_any("GET", "/ops/bundles")
+    bundles = []
+    if isinstance(history, result.Success):
+        bundles = history.unwrap()["bundles"]
+    else:
+        errors["bundles"] = history.failure()
+    value = {"rollout": rollout, "bundles": bundles}
+    return output.Report(value, _status_lines(rollout, bundles), errors)
+
+
+def _platform_errors(rollout: Any) -> dict[str, answers.ErrorBody]:
+    problem = rollout["platform_problem"]
+    if not problem:
+        return {}
+    return {
+        "platform": answers.ErrorBody(
+            exceptions.ErrorKind.PLATFORM,
+            problem,
+            "the numbers shown are those of the instances",
+        )
+    }
+
+
+def _status_lines(rollout: Any, bundles: list[Any]) -> list[str]:
+    lines = [rollout_line(rollout), ""]
+    rows = [
+        (
+            i["instance_id"],
+            i["reachable"],
+            i["in_force"] or None,
+            i["acknowledged"],
+            i["admitting"],
+            i["required"],
+            i["problem"] or None,
+        )
+        for i in rollout["instances"]
+    ]
+    lines += output.table(_INSTANCE_HEADS, sorted(rows))
+    if bundles:
+        keys = ("number", "state", "author", "signer", "copy_of")
+        cells = [[bundle[key] or None for key in keys] for bundle in bundles]
+        lines += ["", *output.table(_BUNDLE_HEADS, cells)]
+    return lines
+
+
+def rollout_line(rollout: Any) -> str:
+    """Returns one line on the rollout: what is in force and who blocks."""
+    text = f"in force: {rollout['in_force'] or 'none'}"
+    if rollout["staging"] > rollout["in_force"]:
+        text += (
+            f", rolling out: {rollout['staging']} by {rollout['coordinator']}"
+        )
+        if rollout["blockers"]:
+            text += f", blocked by: {', '.join(rollout['blockers'])}"
+    if rollout["problem"]:
+        text += f" ({rollout['problem']})"
+    return text
--- /dev/null
+++ b/packages/ctl/src/lycheectl/_internal/config.py
@@ -0,0 +1,92 @@
+"""Where the instances are and who operates them."""
+
+from collections.abc import Mapping
+import pathlib
+from typing import Annotated
+from typing import Any
+
+import pydantic
+from pydantic import dataclasses
+
+from lycheerock_model import bundle as bundle_lib
+from lycheerock_model import documents
+from lycheerock_model import exceptions
+from lycheerock_model import settings as settings_lib
+
+CONFIG_VARIABLE = "LYCHEECTL_CONFIG"
+INSTANCES_VARIABLE = "LYCHEECTL_INSTANCES"
+TOKEN_VARIABLE = "LYCHEECTL_TOKEN"
+OPERATOR_VARIABLE = "LYCHEECTL_OPERATOR"
+CONFIG_DEFAULT = "lycheectl.json"
+
+
+@dataclasses.dataclass(frozen=True, config=documents.STRICT)
+class Config:
+    """Configuration of lycheectl.
+
+    Attributes:
+      instances: Operator address (IP address and port) by instance id.
+      token: Operator token of the instances.
+      operator: Name of the operator who runs the command.
+    """
+
+    instances: Annotated[
+        dict[bundle_lib.Name, bundle_lib.Address], pydantic.Field(min_length=1)
+    ]
+    token: settings_lib.Secret
+    operator: bundle_lib.Name
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    """Reads the configuration file and the environment.
+
+    A variable takes precedence over the same key of the file.
+
+    Args:
+      environment: Environment variables.
+
+    Returns:
+      The configuration.
+
+    Raises:
+      DocumentError: It has faults; the error lists all of them.
+    """
+    document = _read_file(environment)
+    instances = environment.get(INSTANCES_VARIABLE)
+    if instances is not None:
+        document["instances"] = _parse_instances(instances)
+    for key, variable in (
+        ("token", TOKEN_VARIABLE),
+        ("operator", OPERATOR_VARIABLE),
+    ):
+        if variable in environment:
+            document[key] = environment[variable]
+    config, faults = documents.check(Config, document)
+    if config is None:
+        raise exceptions.DocumentError("lycheectl configuration", faults)
+    return config
+
+
+def _read_file(environment: Mapping[str, str]) -> dict[str, Any]:
+    named = environment.get(CONFIG_VARIABLE)
+    path = pathlib.Path(named or CONFIG_DEFAULT)
+    if named is None and not path.exists():
+        return {}
+    try:
+        text = path.read_bytes()
+    except OSError as error:
+        fault = exceptions.Fault(
+            CONFIG_VARIABLE, str(error), "name a readable file"
+        )
+        raise exceptions.DocumentError(str(path), (fault,)) from error
+    document = documents.parse_json(str(path), text)
+    if not isinstance(document, dict):
+        fault = exceptions.Fault("(document)", "no object", "write an object")
+        raise exceptions.DocumentError(str(path), (fault,))
+    return document
+
+
+def _parse_instances(text: str) -> dict[str, str]:
+    """Parses `i0=127.0.0.1:9002,i1=127.0.0.1:9005`."""
+    pairs = [part.strip().partition("=") for part in text.split(",")]
+    return {name: address for name, _, address in pairs}
--- /dev/null
+++ b/packages/ctl/src/lycheectl/_internal/fleet.py
@@ -0,0 +1,166 @@
+"""Views of the instances and their targets."""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import Any
+
+from returns import result
+
+from lycheectl._internal import client as client_lib
+from lycheectl._internal import output
+from lycheerock_model import answers
+
+_INSTANCE_HEADS = (
+    "INSTANCE", "REACHED", "REGION", "ZONE", "BUNDLE", "READY", "STOPPING",
+    "SEEN BY OTHERS AS",
+)  # fmt: skip
+_TARGET_HEADS = (
+    "TARGET", "SERVICE", "ZONE", "OWNER", "STANDBY", "LEAVING", "MARKED BY",
+    "IN FLIGHT", "CONNECTIONS", "QUEUED",
+)  # fmt: skip
+
+
+def split(
+    replies: Mapping[str, client_lib.Reply],
+) -> tuple[dict[str, Any], dict[str, answers.ErrorBody]]:
+    """Returns the values and the errors of replies by instance."""
+    values = {
+        name: reply.unwrap()
+        for name, reply in replies.items()
+        if isinstance(reply, result.Success)
+    }
+    errors = {
+        name: reply.failure()
+        for name, reply in replies.items()
+        if isinstance(reply, result.Failure)
+    }
+    return values, errors
+
+
+async def instances(client: client_lib.Client) -> output.Report:
+    """Shows every instance; those that do not reply as others see them."""
+    states, errors = split(await client.call_all("GET", "/ops/state"))
+    seen = _seen_by_others(states)
+    names = sorted({*client.config.instances, *seen})
+    rows = [_instance_row(name, states.get(name), seen) for name in names]
+    value = [dict(zip(_keys(_INSTANCE_HEADS), r, strict=True)) for r in rows]
+    lines = output.table(_INSTANCE_HEADS, rows)
+    return output.Report(value, lines, errors, _read_code(states))
+
+
+def _instance_row(
+    name: str, state: Mapping[str, Any] | None, seen: Mapping[str, str]
+) -> tuple[object, ...]:
+    if state is None:
+        return (name, False, None, None, None, None, None, seen.get(name))
+    return (
+        name,
+        True,
+        state["region"],
+        state["zone"],
+        state["bundle_number"],
+        state["ready"],
+        state["stopping"],
+        seen.get(name),
+    )
+
+
+def _seen_by_others(states: Mapping[str, Any]) -> dict[str, str]:
+    """Counts, for each instance, the states in which others see it."""
+    counts: dict[str, collections.Counter[str]] = {}
+    for observer, state in states.items():
+        for member in state["members"]:
+            name = member["instance_id"]
+            if name != observer:
+                counter = counts.setdefault(name, collections.Counter())
+                counter[member["state"]] += 1
+    return {
+        name: ", ".join(
+            f"{state} ({count})" for state, count in sorted(counter.items())
+        )
+        for name, counter in counts.items()
+    }
+
+
+async def targets(client: client_lib.Client) -> output.Report:
+    """Shows every target with owners and load summed over the instances."""
+    replies = await client.call_all("GET", "/ops/targets")
+    values, errors = split(replies)
+    views = collections.defaultdict[str, list[dict[str, Any]]](list)
+    for value in values.values():
+        for view in value["targets"]:
+            views[view["target_id"]].append(view)
+    rows = [_target_row(name, views[name]) for name in sorted(views)]
+    value = [dict(zip(_keys(_TARGET_HEADS), r, strict=True)) for r in rows]
+    lines = output.table(_TARGET_HEADS, rows)
+    return output.Report(value, lines, errors, _read_code(values))
+
+
+def _target_row(name: str, views: list[dict[str, Any]]) -> tuple[object, ...]:
+    leaving = sum(view["leaving"] for view in views)
+    marked_by = {view["marked_by"] for view in views if view["leaving"]}
+    owners = [view.get("owners", []) for view in views]
+    return (
+        name,
+        views[0]["service"],
+        views[0]["zone"],
+        _agreed(o[0] for o in owners if o),
+        _agreed(o[1] for o in owners if len(o) > 1),
+        f"{leaving} of {len(views)}" if leaving else "no",
+        _agreed(marked_by),
+        _sum(views, "in_flight"),
+        _sum(views, "connections"),
+        _sum(views, "queued"),
+    )
+
+
+def _agreed(names: Iterable[str]) -> str | None:
+    """Joins the different answers of the instances, usually one."""
+    return "/".join(sorted(set(names))) or None
+
+
+def _sum(views: list[dict[str, Any]], key: str) -> int | None:
+    numbers = [view[key] for view in views if key in view]
+    return sum(numbers) if numbers else None
+
+
+def _keys(heads: Iterable[str]) -> list[str]:
+    return [head.lower().replace(" ", "_") for head in heads]
+
+
+def _read_code(values: Mapping[str, Any]) -> int:
+    """A view is a success if at least one instance replied."""
+    return output.DONE if values else output.FAILED
+
+
+async def dump(
+    client: client_lib.Client, instance_id: str | None
+) -> output.Report:
+    """Shows the state of one process or of all."""
+    if instance_id is None:
+        replies = await client.call_all("GET", "/ops/state")
+    else:
+        reply = await client.call(instance_id, "GET", "/ops/state")
+        replies = {instance_id: reply}
+    states, errors = split(replies)
+    lines = []
+    for name, state in states.items():
+        lines.append(f"[{name}]")
+        lines.extend(flat_lines(state))
+    return output.Report(states, lines, errors, _read_code(states))
+
+
+def flat_lines(value: Any, prefix: str = "") -> list[str]:
+    """Writes nested values as lines of dotted path and value."""
+    if isinstance(value, dict):
+        pairs = [(str(key), item) for key, item in value.items()]
+    elif isinstance(value, list):
+        pairs = [(str(index), item) for index, item in enumerate(value)]
+    else:
+        return [f"{prefix} = {value}"]
+    lines = []
+    for key, item in pairs:
+        path = f"{prefix}.{key}" if prefix else key
+        lines.extend(flat_lines(item, path))
+    return lines
--- /dev/null
+++ b/packages/ctl/src/lycheectl/_internal/output.py
@@ -0,0 +1,134 @@
+"""Prints results as aligned tables or as JSON."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+import sys
+from typing import Any
+from typing import TextIO
+
+import msgspec
+
+from lycheerock_model import answers
+from lycheerock_model import exceptions
+
+DONE = 0
+FAILED = 1
+USAGE = 2
+
+_COLUMN_GAP = "  "
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """Result of a command.
+
+    Attributes:
+      value: JSON value for programs.
+      lines: Text for people.
+      errors: Errors, each with its source, such as an instance.
+      exit_code: Exit code of the command.
+    """
+
+    value: Any
+    lines: Sequence[str] = ()
+    errors: Mapping[str, answers.ErrorBody] = dataclasses.field(
+        default_factory=dict
+    )
+    exit_code: int = DONE
+
+
+def show(
+    report: Report,
+    *,
+    as_json: bool,
+    out: TextIO | None = None,
+    err: TextIO | None = None,
+) -> int:
+    """Prints a report.
+
+    Args:
+      report: The report.
+      as_json: Whether to print JSON.
+      out: Where results go; standard output by default.
+      err: Where errors go; standard error by default.
+
+    Returns:
+      The exit code.
+    """
+    out = out or sys.stdout
+    err = err or sys.stderr
+    if as_json:
+        document = {"result": report.value, "errors": report.errors}
+        text = msgspec.json.format(msgspec.json.encode(document), indent=2)
+        print(text.decode(), file=out)
+        return report.exit_code
+    for line in report.lines:
+        print(line, file=out)
+    for source, error in report.errors.items():
+        print(error_line(source, error), file=err)
+    return report.exit_code
+
+
+def failed(source: str, error: answers.ErrorBody) -> Report:
+    """Returns the report of a command that one error ended."""
+    return Report(None, (), {source: error}, FAILED)
+
+
+def error_line(source: str, error: answers.ErrorBody) -> str:
+    """Returns one line that names source, kind, problem and remedy."""
+    wait = ""
+    if error.retry_after_ms:
+        wait = f" (retry after {error.retry_after_ms} ms)"
+    return f"{source}: {error.kind}: {error.message}; {error.remedy}{wait}"
+
+
+def fault_lines(faults: Iterable[exceptions.Fault]) -> list[str]:
+    """Returns one line per fault of a document."""
+    return [f"{f.path}: {f.problem}; {f.remedy}" for f in faults]
+
+
+def table(heads: Sequence[str], rows: Iterable[Sequence[object]]) -> list[str]:
+    """Aligns rows into columns; columns of numbers are right-aligned.
+
+    Args:
+      heads: Heads of the columns.
+      rows: Cells; None is shown as a dash.
+
+    Returns:
+      One line per row, the heads first.
+    """
+    body = list(rows)
+    texts = [[_cell(value) for value in row] for row in body]
+    columns = range(len(heads))
+    widths = [
+        max(len(heads[c]), *(len(row[c]) for row in texts), 0) for c in columns
+    ]
+    numeric = [
+        bool(body) and all(_is_number(row[c]) for row in body) for c in columns
+    ]
+    lines = []
+    for row in (list(heads), *texts):
+        cells = [
+            row[c].rjust(widths[c]) if numeric[c] else row[c].ljust(widths[c])
+            for c in columns
+        ]
+        lines.append(_COLUMN_GAP.join(cells).rstrip())
+    return lines
+
+
+def _cell(value: object) -> str:
+    if value is None:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.1f}"
+    return str(value)
+
+
+def _is_number(value: object) -> bool:
+    return value is None or (
+        isinstance(value, int | float) and not isinstance(value, bool)
+    )
