--- a/packages/ctl/src/lycheectl/_internal/bundles.py
+++ b/packages/ctl/src/lycheectl/_internal/bundles.py
@@ -1,6 +1,7 @@
 """Actions on bundles: check, diff, propose, sign, roll out, roll back."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import pathlib
 from typing import Any
 
@@ -50,12 +51,14 @@
 
 async def diff(client: client_lib.Client, path: pathlib.Path) -> output.Report:
     """Shows what a bundle file would change."""
-    document = read(path)
+    # Both sides are checked bundles, in which every default is written out.
+    document = {"number": 0, "author": client.config.operator, **read(path)}
+    bundle = bundle_check.load(msgspec.json.encode(document))
     reply = await client.call_any("GET", "/ops/bundle-in-force")
     if isinstance(reply, result.Failure):
         return output.failed("diff", reply.failure())
     in_force = reply.unwrap()
-    changes = diff_lib.compare(in_force, document)
+    changes = diff_lib.compare(in_force, msgspec.to_builtins(bundle))
     head = f"{len(changes)} changes against bundle {in_force['number']}"
     value = {"against": in_force["number"], "changes": changes}
     return output.Report(value, (head, *diff_lib.lines(changes)))
@@ -175,19 +178,20 @@
 
 def _status_lines(rollout: Any, bundles: list[Any]) -> list[str]:
     lines = [rollout_line(rollout), ""]
+    is_open = rollout["staging"] > rollout["in_force"]
     rows = [
         (
             i["instance_id"],
             i["reachable"],
             i["in_force"] or None,
-            i["acknowledged"],
+            i["acknowledged"] if is_open else None,
             i["admitting"],
             i["required"],
             i["problem"] or None,
         )
         for i in rollout["instances"]
     ]
-    lines += output.table(_INSTANCE_HEADS, sorted(rows))
+    lines += output.table(_INSTANCE_HEADS, sorted(rows, key=_first))
     if bundles:
         keys = ("number", "state", "author", "signer", "copy_of")
         cells = [[bundle[key] or None for key in keys] for bundle in bundles]
@@ -195,6 +199,10 @@
     return lines
 
 
+def _first(row: Sequence[object]) -> str:
+    return str(row[0])
+
+
 def rollout_line(rollout: Any) -> str:
     """Returns one line on the rollout: what is in force and who blocks."""
     text = f"in force: {rollout['in_force'] or 'none'}"
--- a/packages/daemon/src/lycheerock/_internal/lifecycle/operator_wiring.py
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/operator_wiring.py
@@ -1,7 +1,6 @@
 """Connects the operator interface with the parts of the process."""
 
 from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
 import signal
@@ -10,9 +9,11 @@
 
 import aiohttp.web
 
+from lycheerock._internal.bundles import actions as bundle_actions_lib
 from lycheerock._internal.dispatch import target_states as target_states_lib
 from lycheerock._internal.lifecycle import logs
 from lycheerock._internal.operator import action_routes
+from lycheerock._internal.operator import bundle_routes
 from lycheerock._internal.operator import health_routes
 from lycheerock._internal.operator import metrics as metrics_lib
 from lycheerock._internal.operator import metrics_routes
@@ -32,7 +33,8 @@
       is_ready: Whether the instance takes new requests.
       is_stopping: Whether a planned stop has begun.
       directory: The member table.
-      bundle: Targets of the bundle in force.
+      bundle: The bundle in force.
+      bundle_actions: Actions of operators on bundles.
       dispatch_state: What dispatch knows of each target.
       target_states: The newest report on each target.
       records: Records of recent requests.
@@ -46,6 +48,7 @@
     is_stopping: Callable[[], bool]
     directory: views.Directory
     bundle: views.BundleView
+    bundle_actions: bundle_actions_lib.Actions
     dispatch_state: Callable[[], views.TargetViews]
     target_states: target_states_lib.TargetStates
     records: state_routes.Records
@@ -53,19 +56,16 @@
     platform_calls: Mapping[str, int]
 
 
-def build(
-    parts: Parts, more_routes: Iterable[aiohttp.web.RouteDef] = ()
-) -> aiohttp.web.Application:
+def build(parts: Parts) -> aiohttp.web.Application:
     """Builds the application of the operator address.
 
     Args:
       parts: The parts of the process.
-      more_routes: Routes of other concerns, such as bundles.
 
     Returns:
       The aiohttp application.
     """
-    return server.build(
+    app = server.build(
         parts.settings.operator_token.get_secret_value(),
         [
             *health_routes.routes(parts.is_ready),
@@ -78,9 +78,10 @@
                 ),
             ),
             *action_routes.routes(_actions(parts)),
-            *more_routes,
         ],
     )
+    bundle_routes.add_routes(app.router, parts.bundle_actions)
+    return app
 
 
 def _views(parts: Parts) -> state_routes.Views:
@@ -104,7 +105,9 @@
             "target_states": targets()["targets"],
         }
 
-    return state_routes.Views(state, members, targets, parts.records)
+    return state_routes.Views(
+        state, members, targets, parts.bundle.document, parts.records
+    )
 
 
 def _actions(parts: Parts) -> action_routes.Actions:
--- a/packages/daemon/src/lycheerock/_internal/operator/bodies.py
+++ b/packages/daemon/src/lycheerock/_internal/operator/bodies.py
@@ -8,8 +8,8 @@
 from lycheerock_model import bundle_check
 from lycheerock_model import exceptions
 
-# The largest body is a bundle in its envelope.
-BODY_SIZE_MAX_BYTES = bundle_check.BUNDLE_SIZE_MAX_BYTES + 4_096
+# The largest body is a bundle, which may be written with white space.
+BODY_SIZE_MAX_BYTES = 2 * bundle_check.BUNDLE_SIZE_MAX_BYTES
 
 
 async def read(request: aiohttp.web.Request) -> dict[str, Any]:
--- a/packages/daemon/src/lycheerock/_internal/operator/state_routes.py
+++ b/packages/daemon/src/lycheerock/_internal/operator/state_routes.py
@@ -30,12 +30,14 @@
       state: State of the whole process.
       members: All members with their state.
       targets: All targets with owners and leaving state.
+      bundle: The bundle in force.
       records: Records of recent requests.
     """
 
     state: View
     members: View
     targets: View
+    bundle: View
     records: Records
 
 
@@ -66,6 +68,7 @@
         aiohttp.web.get("/ops/state", _show(views.state)),
         aiohttp.web.get("/ops/members", _show(views.members)),
         aiohttp.web.get("/ops/targets", _show(views.targets)),
+        aiohttp.web.get("/ops/bundle-in-force", _show(views.bundle)),
         aiohttp.web.get("/ops/requests/{request_id}", request_record),
     ]
 
--- a/packages/daemon/src/lycheerock/_internal/operator/views.py
+++ b/packages/daemon/src/lycheerock/_internal/operator/views.py
@@ -6,11 +6,14 @@
 from typing import Any
 from typing import Protocol
 
+import msgspec
+
 from lycheerock._internal.dispatch import target_states as target_states_lib
 from lycheerock._internal.membership import members as members_lib
 from lycheerock._internal.operator import drains
 from lycheerock._internal.operator import exposition
 from lycheerock_model import bundle as bundle_lib
+from lycheerock_model import exceptions
 
 
 class Directory(Protocol):
@@ -26,23 +29,46 @@
         ...
 
 
+# Enough to see that a token has changed, too little to test guesses of it.
+DIGEST_SHOWN_LENGTH = 8
+
 TargetViews = Mapping[str, Mapping[str, Any]]
 
 
 class BundleView:
-    """Which service each target of the bundle in force belongs to."""
+    """The bundle in force and the place of each of its targets."""
 
     def __init__(self) -> None:
+        self._bundle: bundle_lib.Bundle | None = None
         self._places: dict[str, tuple[str, bundle_lib.Target]] = {}
 
     def apply(self, bundle: bundle_lib.Bundle) -> None:
-        """Takes the targets of a bundle that has come into force."""
+        """Takes a bundle that has come into force."""
+        self._bundle = bundle
         self._places = {
             target.target_id: (service.name, target)
             for service in bundle.services
             for target in service.targets
         }
 
+    def document(self) -> dict[str, Any]:
+        """Returns the bundle as a JSON value with shortened token digests.
+
+        Raises:
+          NotFoundError: There is no bundle yet.
+        """
+        if self._bundle is None:
+            raise exceptions.NotFoundError(
+                "this instance has no bundle yet",
+                "propose, sign and roll out a first bundle",
+            )
+        document: dict[str, Any] = msgspec.to_builtins(self._bundle)
+        for caller in document["callers"]:
+            caller["token_sha256"] = caller["token_sha256"][
+                :DIGEST_SHOWN_LENGTH
+            ]
+        return document
+
     def has_target(self, target_id: str) -> bool:
         """Tells whether the bundle in force has the target."""
         return target_id in self._places
--- a/packages/model/src/lycheerock_model/exceptions.py
+++ b/packages/model/src/lycheerock_model/exceptions.py
@@ -125,6 +125,10 @@
     kind = ErrorKind.NOT_FOUND
 
 
+class OutcomeUnknownError(PlatformError):
+    """A write may have taken effect, or may still do so."""
+
+
 class DocumentError(LycheerockError):
     """A settings file or bundle is invalid.
 
--- a/tests/test_operator_interface.py
+++ b/tests/test_operator_interface.py
@@ -29,6 +29,7 @@
     ("GET", "/ops/members"),
     ("GET", "/ops/targets"),
     ("GET", "/ops/requests/i0.1.1"),
+    ("GET", "/ops/bundle-in-force"),
     ("GET", "/ops/stats"),
     ("GET", "/ops/log-level"),
     ("POST", "/ops/log-level"),
@@ -63,7 +64,7 @@
 
     def build(self) -> aiohttp.web.Application:
         views = state_routes.Views(
-            lambda: {"instance_id": "i0"}, self.fail, dict, Records()
+            lambda: {"instance_id": "i0"}, self.fail, dict, dict, Records()
         )
         actions = action_routes.Actions(
             request_stop=self.stop,
