Wait for the channel to the issuer before forwarding a booking

Ruled out: the admission gate and the deadline; the answer named the status unavailable. Change: forwarding waits for the channel, checks membership meanwhile, and computes the time left after the wait. test_forwarding.py failed before. Conclusion: the call itself is still made once and never repeated.

--- a/packages/daemon/src/lycheerock/_internal/booking/forwarding.py
+++ b/packages/daemon/src/lycheerock/_internal/booking/forwarding.py
@@ -1,5 +1,6 @@
 """Forwards a request to the instance that issued its key."""
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
@@ -23,6 +24,8 @@
 from lycheerock_protocol import peer_pb2
 from lycheerock_protocol import peer_pb2_grpc
 
+READY_CHECK_PERIOD_S = 0.1
+
 
 class Forwarder:
     """Forwards requests to the members of a directory."""
@@ -48,11 +51,11 @@
           The answer of that instance; unknown if it cannot be reached, since an
           earlier attempt with the same key may have run.
         """
-        issuer = self._directory.find(key.instance_id)
-        if issuer is None or not _may_be_alive(issuer, key):
+        issuer = await self._connect(key, request.deadline_s)
+        if issuer is None:
             return outcomes.unknown(
                 request,
-                "the instance that issued the key is gone",
+                "the instance that issued the key is gone or unreachable",
                 exceptions.ErrorKind.KEY,
             )
         time_left_s = request.deadline_s - time.monotonic()
@@ -71,6 +74,29 @@
             return outcomes.unknown(request, "the issuer's reply is malformed")
         return dataclasses.replace(answer, request_id=request.request_id)
 
+    async def _connect(
+        self, key: keys.RequestKey, deadline_s: float
+    ) -> members_lib.Member | None:
+        """Waits until the channel to a key's issuer is ready.
+
+        A channel that failed before, such as while the issuer started, refuses
+        calls until its next attempt to connect. Waiting before the call keeps
+        the time left in the message correct.
+        """
+        while True:
+            issuer = self._directory.find(key.instance_id)
+            if issuer is None or not _may_be_alive(issuer, key):
+                return None
+            channel = self._channels.get(issuer.peer_address)
+            wait_s = min(READY_CHECK_PERIOD_S, deadline_s - time.monotonic())
+            try:
+                async with asyncio.timeout(wait_s):
+                    await channel.channel_ready()
+                return issuer
+            except TimeoutError:
+                if time.monotonic() >= deadline_s:
+                    return None
+
 
 def _may_be_alive(issuer: members_lib.Member, key: keys.RequestKey) -> bool:
     if issuer.incarnation not in (0, key.incarnation):
