Bound the peer streams and find those that are silent

Cause: a stream had no bound on requests or bytes, a frame could exceed the message size, a frozen peer went unnoticed, a lost stream cancelled bookings at the owner, and a receiver that had been frozen counted the time left from when it read a frame. The frames of a lost stream kept waiting for output, so that they took the first request of the next stream (found by the new link test). Change: Exchanges holds the state of a stream without sockets. Frames carry the sender's clock; FrameAge finds how long a frame was held up. LinkTable adds and removes links. A stream is ready once the peer's loop has answered.

--- a/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
@@ -21,7 +21,7 @@
 from lycheerock._internal.membership import directory as directory_lib
 from lycheerock._internal.operator import server as operator_server
 from lycheerock._internal.peers import channels as channels_lib
-from lycheerock._internal.peers import links as links_lib
+from lycheerock._internal.peers import link_table
 from lycheerock._internal.peers import server as peer_server
 from lycheerock._internal.platform import client as client_lib
 from lycheerock_model import settings as settings_lib
@@ -45,10 +45,7 @@
             for member in (self._directory.own, *self._directory.peers())
         )
         self._target_states = target_states_lib.TargetStates()
-        self._links = {
-            peer.instance_id: links_lib.PeerLink(peer.peer_address)
-            for peer in self._directory.peers()
-        }
+        self._links = link_table.LinkTable()
         self._dispatcher = dispatcher_lib.Dispatcher(
             settings.instance_id,
             lambda: self._candidates,
@@ -82,8 +79,9 @@
         stack.push_async_callback(self._channels.close)
         stack.push_async_callback(self._dispatcher.close)
         tasks = [asyncio.create_task(watcher.run(self._platform, self._store))]
-        for link in self._links.values():
-            tasks.append(asyncio.create_task(link.run()))
+        stack.push_async_callback(self._links.close)
+        for peer in self._directory.peers():
+            self._links.add(peer.instance_id, peer.peer_address)
         for task in tasks:
             stack.callback(task.cancel)
         server = await self._start_peer_server()
--- a/packages/daemon/src/lycheerock/_internal/peers/server.py
+++ b/packages/daemon/src/lycheerock/_internal/peers/server.py
@@ -1,9 +1,11 @@
 """The gRPC server for other instances."""
 
 import asyncio
+import collections
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+import functools
 import time
 from typing import Any
 
@@ -11,33 +13,55 @@
 
 from lycheerock._internal.dispatch import work as work_lib
 from lycheerock._internal.peers import channels
-from lycheerock._internal.peers import links
+from lycheerock._internal.peers import exchanges
+from lycheerock._internal.peers import frame_age
 from lycheerock_protocol import peer_pb2
 from lycheerock_protocol import peer_pb2_grpc
 
 Submit = Callable[[work_lib.Work], asyncio.Future[work_lib.Result]]
+# A reply and the rest of its frame must fit into one message.
+_REPLY_SIZE_MAX_BYTES = (
+    channels.MESSAGE_SIZE_MAX_BYTES - 2 * exchanges.FRAME_SIZE_MAX_BYTES
+)
+
 RunKeyed = Callable[[peer_pb2.RunRequest], Awaitable[peer_pb2.RunReply]]
 
 
-class _Exchange:
+class Exchange:
     """State of one incoming stream."""
 
     def __init__(self, submit: Submit):
         self._submit = submit
         self._running: dict[int, asyncio.Future[work_lib.Result]] = {}
-        self.replies = asyncio.Queue[peer_pb2.ShardReply]()
+        self._idempotent: set[int] = set()
+        self._age = frame_age.FrameAge()
+        self._replies = collections.deque[peer_pb2.ShardReply]()
+        self._output = asyncio.Event()
+        self._must_answer = False
 
     def accept(self, frame: peer_pb2.Frame, now_s: float) -> None:
         """Starts the requests of a frame and cancels those it cancels."""
+        held_up_s = self._age.observe(frame.written_ms / 1000, now_s)
         for request in frame.requests:
-            self._start(request, now_s)
+            self._start(request, now_s - held_up_s)
         for exchange_id in frame.cancelled_exchange_ids:
-            running = self._running.pop(exchange_id, None)
-            if running is not None:
-                running.cancel()
+            if exchange_id in self._idempotent:
+                self._running[exchange_id].cancel()
+        if frame.wants_answer:
+            self._must_answer = True
+            self._output.set()
 
-    def _start(self, request: peer_pb2.ShardRequest, now_s: float) -> None:
+    def _start(self, request: peer_pb2.ShardRequest, written_s: float) -> None:
         exchange_id = request.exchange_id
+        if len(self._running) + len(self._replies) >= exchanges.PENDING_MAX:
+            refusal = work_lib.Result(
+                work_lib.Status.REFUSED,
+                retry_after_ms=exchanges.RETRY_AFTER_MS,
+                detail="too many requests of one peer",
+            )
+            self._replies.append(_to_message(exchange_id, refusal))
+            self._output.set()
+            return
         future = self._submit(
             work_lib.Work(
                 attempt_id=request.attempt_id,
@@ -46,34 +70,61 @@
                 target_id=request.target_id,
                 path=request.path,
                 body=request.body,
-                deadline_s=now_s + request.time_left_ms / 1000,
+                deadline_s=written_s + request.time_left_ms / 1000,
                 idempotent=request.idempotent,
             )
         )
         self._running[exchange_id] = future
-        future.add_done_callback(lambda f: self._finish(exchange_id, f))
+        if request.idempotent:
+            self._idempotent.add(exchange_id)
+        future.add_done_callback(functools.partial(self._finish, exchange_id))
 
     def _finish(
         self, exchange_id: int, future: asyncio.Future[work_lib.Result]
     ) -> None:
         self._running.pop(exchange_id, None)
-        if future.cancelled():
-            return
-        result = future.result()
-        self.replies.put_nowait(
-            peer_pb2.ShardReply(
-                exchange_id=exchange_id,
-                status=result.status,
-                body=result.body,
-                retry_after_ms=result.retry_after_ms,
-                detail=result.detail,
-            )
-        )
+        self._idempotent.discard(exchange_id)
+        if not future.cancelled():
+            self._replies.append(_to_message(exchange_id, future.result()))
+            self._output.set()
+
+    async def take_frame(self) -> peer_pb2.Frame:
+        """Waits for replies, or for a frame to answer."""
+        while not (self._replies or self._must_answer):
+            self._output.clear()
+            await self._output.wait()
+        self._must_answer = False
+        frame = peer_pb2.Frame()
+        size_bytes = 0
+        while (
+            self._replies
+            and len(frame.replies) < exchanges.FRAME_MESSAGES_MAX
+            and size_bytes < exchanges.FRAME_SIZE_MAX_BYTES
+        ):
+            reply = self._replies.popleft()
+            size_bytes += len(reply.body)
+            frame.replies.append(reply)
+        return frame
 
     def cancel_idempotent(self) -> None:
-        """Gives up what the peer can no longer receive."""
-        for future in list(self._running.values()):
-            future.cancel()
+        """Gives up what the peer can no longer receive; bookings go on."""
+        for exchange_id in tuple(self._idempotent):
+            self._running[exchange_id].cancel()
+
+
+def _to_message(
+    exchange_id: int, result: work_lib.Result
+) -> peer_pb2.ShardReply:
+    status, body = result.status, result.body
+    if len(body) > _REPLY_SIZE_MAX_BYTES:
+        status, body = work_lib.Status.TOO_LARGE, b""
+    return peer_pb2.ShardReply(
+        exchange_id=exchange_id,
+        status=status,
+        body=body,
+        retry_after_ms=result.retry_after_ms,
+        detail=result.detail,
+    )
 
 
 class PeerServicer(peer_pb2_grpc.PeerServicer):
@@ -89,18 +140,11 @@
         context: grpc.aio.ServicerContext[Any, Any],
     ) -> AsyncIterator[peer_pb2.Frame]:
         """Runs the requests of a peer and streams the replies."""
-        exchange = _Exchange(self._submit)
+        exchange = Exchange(self._submit)
         reader = asyncio.create_task(_read(request_iterator, exchange))
         try:
             while True:
-                frame = peer_pb2.Frame()
-                frame.replies.append(await exchange.replies.get())
-                while (
-                    not exchange.replies.empty()
-                    and len(frame.replies) < links.FRAME_MESSAGES_MAX
-                ):
-                    frame.replies.append(exchange.replies.get_nowait())
-                yield frame
+                yield await exchange.take_frame()
         finally:
             reader.cancel()
             exchange.cancel_idempotent()
@@ -115,7 +159,7 @@
 
 
 async def _read(
-    frames: AsyncIterator[peer_pb2.Frame], exchange: _Exchange
+    frames: AsyncIterator[peer_pb2.Frame], exchange: Exchange
 ) -> None:
     async for frame in frames:
         exchange.accept(frame, time.monotonic())
--- /dev/null
+++ b/tests/test_library_retries.py
@@ -0,0 +1,200 @@
+"""Tests that no library sends a request twice."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import grpc
+import pytest
+import test_links
+
+from lycheerock._internal.dispatch import lanes
+from lycheerock._internal.dispatch import work as work_lib
+from lycheerock._internal.peers import channels
+from lycheerock._internal.peers import links
+from lycheerock_protocol import peer_pb2
+from lycheerock_protocol import peer_pb2_grpc
+
+_FRAME_HEADER_BYTES = 9
+_HEADERS, _SETTINGS, _GOAWAY = 1, 4, 7
+
+
+def _http2_frame(kind: int, flags: int, payload: bytes) -> bytes:
+    head = len(payload).to_bytes(3, "big") + bytes((kind, flags))
+    return head + bytes(4) + payload
+
+
+class RefusingHttp2:
+    """Says after each call that it has not seen it.
+
+    GOAWAY with zero as the last stream lets a client retry by itself.
+    """
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readexactly(24)
+        writer.write(_http2_frame(_SETTINGS, 0, b""))
+        kind = None
+        while kind != _HEADERS:
+            head = await reader.readexactly(_FRAME_HEADER_BYTES)
+            await reader.readexactly(int.from_bytes(head[:3], "big"))
+            kind = head[3]
+            if kind == _SETTINGS and not head[4] & 1:
+                writer.write(_http2_frame(_SETTINGS, 1, b""))
+        self.calls += 1
+        writer.write(_http2_frame(_GOAWAY, 0, bytes(8)))
+        writer.close()
+
+
+class TestGrpc:
+    """gRPC retries a call that was not seen unless told not to."""
+
+    def test_unary_call_is_sent_once(self) -> None:
+        # Guards against a forwarded booking that gRPC sends twice.
+        async def run() -> int:
+            fake = RefusingHttp2()
+            server = await asyncio.start_server(fake.serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            owned = channels.Channels()
+            stub = peer_pb2_grpc.PeerStub(owned.get(f"127.0.0.1:{port}"))
+            with pytest.raises(grpc.aio.AioRpcError):
+                await stub.RunKeyed(peer_pb2.RunRequest(), timeout=10.0)
+            await owned.close()
+            server.close()
+            return fake.calls
+
+        assert asyncio.run(run()) == 1
+
+    def test_stream_is_opened_once_per_attempt_of_the_link(self) -> None:
+        # Guards against a stream whose frames gRPC sends twice.
+        async def run() -> int:
+            fake = RefusingHttp2()
+            server = await asyncio.start_server(fake.serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            link = links.PeerLink(f"127.0.0.1:{port}")
+            # One attempt only; `run` repeats it after a delay.
+            with pytest.raises(grpc.aio.AioRpcError):
+                await link.run_stream()
+            server.close()
+            return fake.calls
+
+        assert asyncio.run(run()) == 1
+
+
+Answer = Callable[[asyncio.StreamWriter, int], Awaitable[None]]
+
+
+class HttpFake:
+    """Counts requests and answers them as the test says."""
+
+    def __init__(self, answer: Answer):
+        self._answer = answer
+        self.requests = 0
+        self.headers: list[bytes] = []
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.headers.append(head)
+                for line in head.lower().split(b"\r\n"):
+                    if line.startswith(b"content-length:"):
+                        await reader.readexactly(int(line.split(b":")[1]))
+                self.requests += 1
+                await self._answer(writer, self.requests)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+def never(_: work_lib.Work, __: float) -> None:
+    return None
+
+
+async def send_on_one_lane(
+    fake: HttpFake, count: int, obstacle: lanes.Obstacle = never
+) -> list[work_lib.Result]:
+    server = await asyncio.start_server(fake.serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    settings = lanes.LaneSettings(f"http://127.0.0.1:{port}", 1_000)
+    lane = lanes.Lane(settings, lambda: None)
+    work = test_links.make_work()
+    results = [await lane.send(work, 1_000, obstacle) for _ in range(count)]
+    await lane.close()
+    server.close()
+    return results
+
+
+_OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+
+class TestAiohttp:
+    """A lane sends each request once."""
+
+    def test_request_on_a_connection_that_closes_is_not_repeated(self) -> None:
+        # Guards against aiohttp's retry after a kept connection was closed.
+        async def answer(writer: asyncio.StreamWriter, number: int) -> None:
+            if number == 1:
+                writer.write(_OK)
+            else:
+                writer.close()
+
+        fake = HttpFake(answer)
+        results = asyncio.run(send_on_one_lane(fake, 2))
+        assert [r.status for r in results] == ["replied", "lost"]
+        assert fake.requests == 2
+
+    def test_redirect_is_not_followed(self) -> None:
+        # Guards against a booking that a redirect runs a second time.
+        async def answer(writer: asyncio.StreamWriter, _: int) -> None:
+            writer.write(
+                b"HTTP/1.1 307 X\r\nLocation: /v1/run\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+
+        fake = HttpFake(answer)
+        results = asyncio.run(send_on_one_lane(fake, 1))
+        assert results[0].status == work_lib.Status.MALFORMED
+        assert fake.requests == 1
+
+
+class TestMomentOfWriting:
+    """A request is checked when its connection is open."""
+
+    @pytest.mark.parametrize("refused_check", [1, 2])
+    def test_refusal_after_connecting_sends_no_byte(
+        self, refused_check: int
+    ) -> None:
+        # Guards against old work sent by a process that was frozen while its
+        # connection was opened, or just before the write.
+        checks = []
+
+        def obstacle(_: work_lib.Work, now_s: float) -> work_lib.Result | None:
+            checks.append(now_s)
+            if len(checks) == refused_check:
+                return work_lib.Result(work_lib.Status.EXPIRED)
+            return None
+
+        async def answer(writer: asyncio.StreamWriter, _: int) -> None:
+            writer.write(_OK)
+
+        fake = HttpFake(answer)
+        results = asyncio.run(send_on_one_lane(fake, 1, obstacle))
+        assert results[0].status == work_lib.Status.EXPIRED
+        assert fake.headers == []
+
+    def test_time_left_is_sent(self) -> None:
+        # Guards against a target that works past the deadline.
+        async def answer(writer: asyncio.StreamWriter, _: int) -> None:
+            writer.write(_OK)
+
+        fake = HttpFake(answer)
+        asyncio.run(send_on_one_lane(fake, 1))
+        lines = fake.headers[0].split(b"\r\n")
+        found = [n for n in lines if n.startswith(b"X-Deadline-Ms: ")]
+        assert 0 < int(found[0].split(b": ")[1]) <= 60_000
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,114 @@
+"""Tests of peer links over real streams."""
+
+import asyncio
+import socket
+import time
+
+from lycheerock._internal.dispatch import work as work_lib
+from lycheerock._internal.peers import link_table
+from lycheerock._internal.peers import server as server_lib
+
+
+def free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def make_work(*, idempotent: bool = True) -> work_lib.Work:
+    return work_lib.Work(
+        "a",
+        "c",
+        "s",
+        "t",
+        "/v1/shard",
+        b"{}",
+        time.monotonic() + 60.0,
+        idempotent,
+    )
+
+
+async def run_keyed(request: object) -> None:
+    raise NotImplementedError
+
+
+class Peer:
+    """An instance's server whose requests end when the test says so."""
+
+    def __init__(self) -> None:
+        self.address = free_address()
+        self.futures: list[asyncio.Future[work_lib.Result]] = []
+
+    def submit(self, work: work_lib.Work) -> asyncio.Future[work_lib.Result]:
+        future = asyncio.get_running_loop().create_future()
+        self.futures.append(future)
+        return future
+
+    async def start(self) -> None:
+        servicer = server_lib.PeerServicer(self.submit, run_keyed)
+        self.server = await server_lib.start(self.address, servicer)
+
+
+async def wait_for(condition: object) -> None:
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
+class TestLinkTable:
+    """Peers come and go at run time."""
+
+    def test_added_peer_serves_and_removed_peer_reports(self) -> None:
+        # Guards against futures without a result after a peer is removed, and
+        # against a booking that the owner cancels with the stream.
+        async def run() -> None:
+            peer, table = Peer(), link_table.LinkTable()
+            await peer.start()
+            table.add("i1", peer.address)
+            link = table["i1"]
+            await wait_for(lambda: link.is_ready)
+            table.add("i1", peer.address)
+            assert table["i1"] is link
+            first = link.submit(make_work())
+            await wait_for(lambda: peer.futures)
+            ok = work_lib.Result(work_lib.Status.REPLIED, b"x")
+            peer.futures[0].set_result(ok)
+            assert (await first) == ok
+            lost = link.submit(make_work())
+            booking = link.submit(make_work(idempotent=False))
+            await wait_for(lambda: len(peer.futures) == 3)
+            table.remove("i1")
+            assert table.get("i1") is None
+            for future in (lost, booking):
+                result = await future
+                assert result.status == work_lib.Status.LOST
+                assert result.is_stream_lost
+            await wait_for(peer.futures[1].cancelled)
+            assert not peer.futures[2].done()
+            await table.close()
+            await peer.server.stop(None)
+
+        asyncio.run(run())
+
+    def test_link_returns_with_its_peer_and_sends_nothing_twice(self) -> None:
+        # Guards against a link that stays down, and against requests of the
+        # old stream that the new one sends again.
+        async def run() -> None:
+            peer, table = Peer(), link_table.LinkTable()
+            await peer.start()
+            table.add("i1", peer.address)
+            await wait_for(lambda: table["i1"].is_ready)
+            lost = table["i1"].submit(make_work())
+            await wait_for(lambda: peer.futures)
+            await peer.server.stop(None)
+            assert (await lost).status == work_lib.Status.LOST
+            early = await table["i1"].submit(make_work())
+            assert early.status == work_lib.Status.NOT_SENT
+            await peer.start()
+            await wait_for(lambda: table["i1"].is_ready)
+            table["i1"].submit(make_work())
+            await wait_for(lambda: len(peer.futures) > 1)
+            assert len(peer.futures) == 2
+            await table.close()
+            await peer.server.stop(None)
+
+        asyncio.run(run())
