Report all faults of settings and bundles at once

Cause: relations such as clashing addresses or unknown targets were checked only after every single value was right; host names, port 0 and numbers written as text passed; an unknown key had one remedy whatever it was.

Change: relations are checked on the parsed JSON, apart from the data classes. Addresses are IP numbers with a port from 1 to 65535, and compared as such; 0.0.0.0 is accepted only where a server listens and nobody is told the address. Numbers must be JSON numbers. An unknown key names the likely key and its unit. New faults: peers listed twice, a peer at an own address, a token that cannot be sent in a header, two callers with one token.

--- /dev/null
+++ b/packages/model/src/lycheerock_model/addresses.py
@@ -0,0 +1,89 @@
+"""Numeric IP addresses with a port."""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+import ipaddress
+
+import pydantic_core
+
+from lycheerock_model import exceptions
+
+PORT_MAX = 65_535
+
+# IP address and port; two equal endpoints clash.
+Endpoint = tuple[ipaddress.IPv4Address | ipaddress.IPv6Address, int]
+
+
+def parse(text: str) -> Endpoint | None:
+    """Parses `127.0.0.1:9000` or `[::1]:9000`.
+
+    Args:
+      text: The address.
+
+    Returns:
+      IP address and port, or None if the text is no such address.
+    """
+    host, _, port = text.rpartition(":")
+    is_bracketed = host.startswith("[") and host.endswith("]")
+    try:
+        ip = ipaddress.ip_address(host[1:-1] if is_bracketed else host)
+    except ValueError:
+        return None
+    if (ip.version == 6) != is_bracketed:
+        return None
+    # A port with leading zeros would hide a clash from readers.
+    if not (port.isascii() and port.isdecimal() and port[0] != "0"):
+        return None
+    if len(port) > 5 or int(port) > PORT_MAX:
+        return None
+    return ip, int(port)
+
+
+def check_listen(text: str) -> str:
+    """Validates the address of a server, which may be 0.0.0.0.
+
+    Raises:
+      PydanticCustomError: The text is no IP address with a port.
+    """
+    if parse(text) is None:
+        raise pydantic_core.PydanticCustomError(
+            "address", "not an IP address with a port from 1 to 65535"
+        )
+    return text
+
+
+def check_remote(text: str) -> str:
+    """Validates an address that others connect to.
+
+    Raises:
+      PydanticCustomError: The text is no IP address with a port, or 0.0.0.0.
+    """
+    endpoint = parse(check_listen(text))
+    if endpoint is not None and endpoint[0].is_unspecified:
+        raise pydantic_core.PydanticCustomError(
+            "address", "an unspecified address cannot be connected to"
+        )
+    return text
+
+
+def clashes(places: Mapping[str, object]) -> Iterator[exceptions.Fault]:
+    """Finds addresses that stand in two places.
+
+    Args:
+      places: Address by path; values that are no address are passed over.
+
+    Yields:
+      One fault per later place, which names the first one.
+    """
+    first: dict[Endpoint, str] = {}
+    for path, text in places.items():
+        endpoint = parse(text) if isinstance(text, str) else None
+        if endpoint is None:
+            continue
+        earlier = first.setdefault(endpoint, path)
+        if earlier != path:
+            yield exceptions.Fault(
+                path,
+                f"{text} is also the value of {earlier}",
+                "give each server an address of its own",
+            )
--- a/packages/model/src/lycheerock_model/bundle.py
+++ b/packages/model/src/lycheerock_model/bundle.py
@@ -6,16 +6,19 @@
 import pydantic
 from pydantic import dataclasses
 
+from lycheerock_model import addresses
 from lycheerock_model import documents
 
 Name = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
-Address = Annotated[
-    str, pydantic.Field(pattern=r"^[0-9a-f.:\[\]]+:[0-9]{1,5}$")
-]
+Address = Annotated[str, pydantic.AfterValidator(addresses.check_remote)]
+ListenAddress = Annotated[str, pydantic.AfterValidator(addresses.check_listen)]
 Sha256Hex = Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{64}$")]
-Ratio = Annotated[float, pydantic.Field(ge=0.0, le=1.0)]
-Positive = Annotated[int, pydantic.Field(ge=1)]
-DurationMs = Annotated[int, pydantic.Field(ge=1, le=600_000)]
+Ratio = Annotated[float, pydantic.Field(ge=0.0, le=1.0, strict=True)]
+Positive = Annotated[int, pydantic.Field(ge=1, strict=True)]
+DurationMs = Annotated[int, pydantic.Field(ge=1, le=600_000, strict=True)]
+
+DEADLINE_DEFAULT_MS = 1_000
+DEADLINE_MAX_MS = 30_000
 
 
 class Weighs(enum.StrEnum):
@@ -93,9 +96,9 @@
         tuple[ShardMap, ...], pydantic.Field(min_length=1, max_length=2)
     ]
     coverage_min_ratio: Ratio = 0.0
-    partial_allowed: bool = True
-    deadline_default_ms: DurationMs = 1_000
-    deadline_max_ms: DurationMs = 30_000
+    partial_allowed: pydantic.StrictBool = True
+    deadline_default_ms: DurationMs = DEADLINE_DEFAULT_MS
+    deadline_max_ms: DurationMs = DEADLINE_MAX_MS
     reply_size_max_bytes: Positive = 1_048_576
     hedge_ratio: Ratio = 0.05
 
@@ -123,7 +126,7 @@
       dispatch_mode: How instances share the slots of a target.
     """
 
-    number: Annotated[int, pydantic.Field(ge=0)]
+    number: Annotated[int, pydantic.Field(ge=0, strict=True)]
     author: Name
     instance_count_max: Positive
     services: tuple[Service, ...]
--- a/packages/model/src/lycheerock_model/bundle_check.py
+++ b/packages/model/src/lycheerock_model/bundle_check.py
@@ -1,10 +1,9 @@
 """Checks a bundle: types and ranges, then references between its parts."""
 
-import collections
-from collections.abc import Iterable
 from collections.abc import Iterator
 from typing import Any
 
+from lycheerock_model import addresses
 from lycheerock_model import bundle as bundle_lib
 from lycheerock_model import documents
 from lycheerock_model import exceptions
@@ -13,6 +12,11 @@
 # envelope that the object API adds.
 BUNDLE_SIZE_MAX_BYTES = 1_000_000
 
+_HOLDERS = {"service": "bundle", "target": "service"}
+
+# Positions and values of the objects of a list.
+_Parts = list[tuple[int, dict[str, Any]]]
+
 
 def load(text: bytes) -> bundle_lib.Bundle:
     """Parses and checks a bundle.
@@ -47,10 +51,9 @@
       The bundle and no faults, or None and every fault.
     """
     bundle, faults = documents.check(bundle_lib.Bundle, document)
-    if bundle is None:
-        return None, faults
-    references = tuple(_reference_faults(bundle))
-    return (None, references) if references else (bundle, ())
+    if isinstance(document, dict):
+        faults += tuple(_reference_faults(document))
+    return (None, faults) if faults else (bundle, ())
 
 
 def _size_faults(text: bytes) -> Iterator[exceptions.Fault]:
@@ -62,61 +65,106 @@
         )
 
 
-def _reference_faults(bundle: bundle_lib.Bundle) -> Iterator[exceptions.Fault]:
-    names = [service.name for service in bundle.services]
-    yield from _doubles("services", names)
-    yield from _doubles("callers", [caller.name for caller in bundle.callers])
-    targets = [t for service in bundle.services for t in service.targets]
-    yield from _doubles("targets", [t.target_id for t in targets])
-    yield from _doubles("target addresses", [t.address for t in targets])
-    for index, service in enumerate(bundle.services):
-        yield from _service_faults(f"services.{index}", service, bundle)
-    for index, caller in enumerate(bundle.callers):
-        for name in set(caller.service_names) - set(names):
-            yield exceptions.Fault(
-                f"callers.{index}.service_names",
-                f"unknown service {name!r}",
-                "name a service of this bundle",
-            )
+def _reference_faults(document: dict[str, Any]) -> Iterator[exceptions.Fault]:
+    """Finds faults between parts, also when other parts are faulty."""
+    services = documents.objects(document.get("services"))
+    callers = documents.objects(document.get("callers"))
+    yield from _repeated("services", services, "name")
+    yield from _repeated("callers", callers, "name")
+    yield from _repeated("callers", callers, "token_sha256")
+    yield from _target_faults(services)
+    count_max = document.get("instance_count_max")
+    for index, service in services:
+        path = f"services.{index}"
+        yield from _map_faults(path, service)
+        yield from _limit_faults(path, service, count_max)
+        yield from _deadline_faults(path, service)
+    names = documents.texts(service.get("name") for _, service in services)
+    for index, caller in callers:
+        path = f"callers.{index}.service_names"
+        yield from _unknown_names(
+            path, caller.get("service_names"), names, "service"
+        )
+
 
+def _repeated(path: str, parts: _Parts, key: str) -> Iterator[exceptions.Fault]:
+    values = [(f"{path}.{i}.{key}", part.get(key)) for i, part in parts]
+    yield from documents.repeated(values, "use each value once")
 
-def _service_faults(
-    path: str, service: bundle_lib.Service, bundle: bundle_lib.Bundle
+
+def _target_faults(services: _Parts) -> Iterator[exceptions.Fault]:
+    places = [
+        (f"services.{service_index}.targets.{index}", target)
+        for service_index, service in services
+        for index, target in documents.objects(service.get("targets"))
+    ]
+    ids = [(f"{path}.target_id", t.get("target_id")) for path, t in places]
+    yield from documents.repeated(ids, "use each value once")
+    yield from addresses.clashes(
+        {f"{path}.address": target.get("address") for path, target in places}
+    )
+
+
+def _map_faults(
+    path: str, service: dict[str, Any]
 ) -> Iterator[exceptions.Fault]:
-    known = {target.target_id for target in service.targets}
-    versions = [str(m.shard_map_version) for m in service.shard_maps]
-    yield from _doubles(f"{path}.shard_maps", versions)
-    for map_index, shard_map in enumerate(service.shard_maps):
+    targets = documents.objects(service.get("targets"))
+    known = documents.texts(target.get("target_id") for _, target in targets)
+    maps = documents.objects(service.get("shard_maps"))
+    yield from _repeated(f"{path}.shard_maps", maps, "shard_map_version")
+    for map_index, shard_map in maps:
         map_path = f"{path}.shard_maps.{map_index}.shards"
-        yield from _doubles(map_path, [s.shard_id for s in shard_map.shards])
-        for shard_index, shard in enumerate(shard_map.shards):
-            shard_path = f"{map_path}.{shard_index}.target_ids"
-            yield from _doubles(shard_path, shard.target_ids)
-            for target_id in set(shard.target_ids) - known:
-                yield exceptions.Fault(
-                    shard_path,
-                    f"unknown target {target_id!r}",
-                    "name a target of this service",
-                )
-    for target_index, target in enumerate(service.targets):
-        if target.connection_limit < bundle.instance_count_max:
+        shards = documents.objects(shard_map.get("shards"))
+        yield from _repeated(map_path, shards, "shard_id")
+        for index, shard in shards:
+            ids_path = f"{map_path}.{index}.target_ids"
+            ids = shard.get("target_ids")
+            yield from _unknown_names(ids_path, ids, known, "target")
+
+
+def _unknown_names(
+    path: str, names: Any, known: set[str], noun: str
+) -> Iterator[exceptions.Fault]:
+    """Finds names in a list that nothing has, or that stand there twice."""
+    listed = names if isinstance(names, list) else []
+    for name in sorted(documents.texts(listed) - known):
+        yield exceptions.Fault(
+            path,
+            f"unknown {noun} {name!r}",
+            f"name a {noun} of this {_HOLDERS[noun]}",
+        )
+    places = [(f"{path}.{index}", name) for index, name in enumerate(listed)]
+    yield from documents.repeated(places, "use each value once")
+
+
+def _limit_faults(
+    path: str, service: dict[str, Any], count_max: Any
+) -> Iterator[exceptions.Fault]:
+    for index, target in documents.objects(service.get("targets")):
+        limit = target.get("connection_limit")
+        if not isinstance(limit, int) or not isinstance(count_max, int):
+            continue
+        if limit < count_max:
             yield exceptions.Fault(
-                f"{path}.targets.{target_index}.connection_limit",
-                f"{target.connection_limit} is below instance_count_max "
-                f"{bundle.instance_count_max}, so an instance's share is zero",
+                f"{path}.targets.{index}.connection_limit",
+                f"{limit} is below instance_count_max {count_max}, so that an "
+                "instance's share is zero",
                 "raise connection_limit or lower instance_count_max",
             )
-    if service.deadline_default_ms > service.deadline_max_ms:
+
+
+def _deadline_faults(
+    path: str, service: dict[str, Any]
+) -> Iterator[exceptions.Fault]:
+    default_ms = service.get(
+        "deadline_default_ms", bundle_lib.DEADLINE_DEFAULT_MS
+    )
+    max_ms = service.get("deadline_max_ms", bundle_lib.DEADLINE_MAX_MS)
+    if not isinstance(default_ms, int) or not isinstance(max_ms, int):
+        return
+    if default_ms > max_ms:
         yield exceptions.Fault(
             f"{path}.deadline_default_ms",
-            "longer than deadline_max_ms",
+            f"{default_ms} is longer than deadline_max_ms {max_ms}",
             "lower deadline_default_ms or raise deadline_max_ms",
         )
-
-
-def _doubles(path: str, values: Iterable[str]) -> Iterator[exceptions.Fault]:
-    for value, count in collections.Counter(values).items():
-        if count > 1:
-            yield exceptions.Fault(
-                path, f"{value!r} appears {count} times", "use each value once"
-            )
--- a/packages/model/src/lycheerock_model/documents.py
+++ b/packages/model/src/lycheerock_model/documents.py
@@ -1,6 +1,15 @@
 """Checks JSON documents against data classes and reports every fault."""
 
+from collections.abc import Hashable
+from collections.abc import Iterable
+from collections.abc import Iterator
+import dataclasses
+import difflib
+import functools
 from typing import Any
+from typing import cast
+from typing import get_args
+from typing import get_type_hints
 from typing import TypeVar
 
 import msgspec
@@ -13,13 +22,24 @@
 STRICT = pydantic.ConfigDict(extra="forbid", strict=False)
 
 _REMEDIES = {
-    "extra_forbidden": "remove the key or correct its spelling",
     "missing": "add the key",
     "greater_than": "use a larger value",
     "greater_than_equal": "use a larger value",
     "less_than": "use a smaller value",
     "less_than_equal": "use a smaller value",
     "string_pattern_mismatch": "write it in the form that the pattern shows",
+    "address": "write an IP address and a port, such as 10.0.0.1:9000 or "
+    "[fd00::1]:9000; names are not looked up",
+}
+
+# Suffixes of keys and what their numbers count.
+_UNITS = {
+    "_ms": "milliseconds",
+    "_s": "seconds",
+    "_bytes": "bytes",
+    "_ratio": "a share from 0 to 1",
+    "_count": "a whole number",
+    "_limit": "a whole number",
 }
 
 
@@ -56,12 +76,124 @@
       The instance and no faults, or None and every fault.
     """
     try:
-        return pydantic.TypeAdapter(data_class).validate_python(document), ()
+        checked: T = _adapter(cast(Hashable, data_class)).validate_python(
+            document
+        )
     except pydantic.ValidationError as error:
-        return None, tuple(_to_fault(detail) for detail in error.errors())
+        return None, tuple(
+            _to_fault(data_class, detail) for detail in error.errors()
+        )
+    return checked, ()
+
+
+@functools.cache
+def _adapter(data_class: Hashable) -> pydantic.TypeAdapter[Any]:
+    return pydantic.TypeAdapter(cast(Any, data_class))
 
 
-def _to_fault(detail: Any) -> exceptions.Fault:
-    path = ".".join(str(part) for part in detail["loc"]) or "(document)"
-    remedy = _REMEDIES.get(detail["type"], "correct the value")
+def _to_fault(data_class: Any, detail: Any) -> exceptions.Fault:
+    location = detail["loc"]
+    path = ".".join(str(part) for part in location) or "(document)"
+    kind = detail["type"]
+    if kind in ("extra_forbidden", "unexpected_keyword_argument"):
+        return _unknown_key(data_class, location, path)
+    remedy = _REMEDIES.get(kind) or _type_remedy(path)
     return exceptions.Fault(path, detail["msg"], remedy)
+
+
+def _type_remedy(path: str) -> str:
+    unit = _unit(path)
+    if unit:
+        return f"write a number without a unit; it counts {unit}"
+    return "correct the value"
+
+
+def _unit(key: str) -> str:
+    for suffix, unit in _UNITS.items():
+        if key.endswith(suffix):
+            return unit
+    return ""
+
+
+def _unknown_key(
+    data_class: Any, location: tuple[Any, ...], path: str
+) -> exceptions.Fault:
+    key = str(location[-1])
+    known = _keys_at(data_class, location[:-1])
+    same_stem = [name for name in known if _stem(name) == _stem(key)]
+    if same_stem:
+        name = same_stem[0]
+        return exceptions.Fault(
+            path,
+            "unknown key; the unit or its suffix differs from the known one",
+            f"write it as {name}, which counts {_unit(name)}",
+        )
+    close = difflib.get_close_matches(key, known, n=1)
+    remedy = f"write it as {close[0]}" if close else "remove the key"
+    return exceptions.Fault(path, "unknown key", remedy)
+
+
+def _stem(key: str) -> str:
+    for suffix in ("_ms", "_s", "_bytes", "_kb", "_mb", "_seconds", "_min"):
+        if key.endswith(suffix):
+            return key.removesuffix(suffix)
+    return key
+
+
+def _keys_at(data_class: Any, location: tuple[Any, ...]) -> list[str]:
+    """Returns the keys of the data class at a place of the document."""
+    place = data_class
+    for part in location:
+        if isinstance(part, str) and place is not None:
+            place = _data_class_in(get_type_hints(place).get(part))
+    if place is None:
+        return []
+    return [field.name for field in dataclasses.fields(place)]
+
+
+def _data_class_in(hint: Any) -> Any:
+    if dataclasses.is_dataclass(hint):
+        return hint
+    found = (_data_class_in(argument) for argument in get_args(hint))
+    return next((place for place in found if place is not None), None)
+
+
+def objects(value: Any) -> list[tuple[int, dict[str, Any]]]:
+    """Returns the objects of a list with their positions.
+
+    Args:
+      value: Any JSON value; one that is no list counts as an empty list.
+
+    Returns:
+      Position and object.
+    """
+    items = value if isinstance(value, list) else []
+    return [(i, item) for i, item in enumerate(items) if isinstance(item, dict)]
+
+
+def texts(values: Iterable[Any]) -> set[str]:
+    """Returns the values that are texts."""
+    return {value for value in values if isinstance(value, str)}
+
+
+def repeated(
+    values: Iterable[tuple[str, Any]], remedy: str
+) -> Iterator[exceptions.Fault]:
+    """Finds texts that appear more than once.
+
+    Args:
+      values: Path and value of each place; only texts are compared.
+      remedy: What the author should do.
+
+    Yields:
+      One fault per later place, which names the first one.
+    """
+    first: dict[str, str] = {}
+    for path, value in values:
+        if not isinstance(value, str | int):
+            continue
+        earlier = first.setdefault(str(value), path)
+        if earlier != path:
+            yield exceptions.Fault(
+                path, f"{value!r} stands at {earlier} already", remedy
+            )
--- a/packages/model/src/lycheerock_model/settings.py
+++ b/packages/model/src/lycheerock_model/settings.py
@@ -1,19 +1,20 @@
 """The daemon's own settings file."""
 
-import collections
 from collections.abc import Iterator
+import re
 from typing import Annotated
+from typing import Any
 
 import pydantic
 from pydantic import dataclasses
 
+from lycheerock_model import addresses
 from lycheerock_model import bundle
 from lycheerock_model import documents
 from lycheerock_model import exceptions
 
-Port = Annotated[int, pydantic.Field(ge=1, le=65_535)]
 Secret = Annotated[pydantic.SecretStr, pydantic.Field(min_length=16)]
-Seconds = Annotated[float, pydantic.Field(ge=0.0, le=3_600.0)]
+Seconds = Annotated[float, pydantic.Field(ge=0.0, le=3_600.0, strict=True)]
 
 
 @dataclasses.dataclass(frozen=True, config=documents.STRICT)
@@ -48,9 +49,9 @@
     instance_id: bundle.Name
     region: bundle.Name
     zone: bundle.Name
-    caller_address: bundle.Address
+    caller_address: bundle.ListenAddress
     peer_address: bundle.Address
-    operator_address: bundle.Address
+    operator_address: bundle.ListenAddress
     operator_token: Secret
     platform_address: bundle.Address
     peers: tuple[Peer, ...] = ()
@@ -74,33 +75,84 @@
       DocumentError: The text has faults; the error lists all of them.
     """
     document = documents.parse_json("settings", text)
-    settings, faults = documents.check(Settings, document)
-    if settings is not None:
-        faults = tuple(_address_faults(settings))
-    if settings is None or faults:
+    settings, faults = check(document)
+    if settings is None:
         raise exceptions.DocumentError("settings", faults)
     return settings
 
 
-def _address_faults(settings: Settings) -> Iterator[exceptions.Fault]:
-    own = {
-        "caller_address": settings.caller_address,
-        "peer_address": settings.peer_address,
-        "operator_address": settings.operator_address,
-        "platform_address": settings.platform_address,
-    }
-    counts = collections.Counter(own.values())
-    for key, address in own.items():
-        if counts[address] > 1:
-            yield exceptions.Fault(
-                key,
-                f"{address} is used twice",
-                "give each interface its own port",
-            )
-    for index, peer in enumerate(settings.peers):
-        if peer.instance_id == settings.instance_id:
+def check(
+    document: Any,
+) -> tuple[Settings | None, tuple[exceptions.Fault, ...]]:
+    """Checks parsed settings.
+
+    Args:
+      document: The parsed JSON value.
+
+    Returns:
+      The settings and no faults, or None and every fault.
+    """
+    settings, faults = documents.check(Settings, document)
+    if isinstance(document, dict):
+        faults += tuple(_relation_faults(document))
+    return (None, faults) if faults else (settings, ())
+
+
+def _relation_faults(document: dict[str, Any]) -> Iterator[exceptions.Fault]:
+    """Finds faults between values, also when other values are faulty."""
+    peers = documents.objects(document.get("peers"))
+    yield from _token_faults(document.get("operator_token"))
+    places = {key: document.get(key) for key in _ADDRESS_KEYS}
+    for index, peer in peers:
+        places[f"peers.{index}.peer_address"] = peer.get("peer_address")
+    yield from addresses.clashes(places)
+    yield from _wildcard_faults(document)
+    for index, peer in peers:
+        if peer.get("instance_id") == document.get("instance_id"):
             yield exceptions.Fault(
                 f"peers.{index}.instance_id",
                 "names this instance itself",
                 "list only other instances",
             )
+    ids = [(f"peers.{i}.instance_id", p.get("instance_id")) for i, p in peers]
+    yield from documents.repeated(ids, "list each peer once")
+
+
+_ADDRESS_KEYS = (
+    "caller_address",
+    "peer_address",
+    "operator_address",
+    "platform_address",
+)
+
+
+def _wildcard_faults(document: dict[str, Any]) -> Iterator[exceptions.Fault]:
+    """Finds servers on all addresses that take the port of another one."""
+    found = [(key, document.get(key)) for key in _ADDRESS_KEYS[:3]]
+    own = [
+        (key, addresses.parse(text))
+        for key, text in found
+        if isinstance(text, str)
+    ]
+    for key, endpoint in own:
+        if endpoint is None or not endpoint[0].is_unspecified:
+            continue
+        for other_key, other in own:
+            if other and other != endpoint and other[1] == endpoint[1]:
+                yield exceptions.Fault(
+                    key,
+                    f"listens on all addresses at the port of {other_key}",
+                    "give each server a port of its own",
+                )
+
+
+def _token_faults(token: Any) -> Iterator[exceptions.Fault]:
+    if isinstance(token, str) and not _TOKEN.fullmatch(token):
+        yield exceptions.Fault(
+            "operator_token",
+            "holds characters that cannot be sent in a header",
+            "use only letters, digits and -._~+/=",
+        )
+
+
+_TOKEN = re.compile(r"[A-Za-z0-9\-._~+/=]*")
--- /dev/null
+++ b/tests/test_document_checks.py
@@ -0,0 +1,244 @@
+"""Tests of the checks of settings files and bundles."""
+
+import copy
+import json
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies
+import pytest
+
+from lycheerock_bench._internal import deployments
+from lycheerock_model import bundle_check
+from lycheerock_model import exceptions
+from lycheerock_model import settings
+
+ZONES = [("montreal", "montreal-a"), ("montreal", "montreal-b")]
+SHAPE = deployments.ServiceShape("portal", "latency", 3, 4, 2, 3, 30)
+SETTINGS = deployments.build_settings(3, ZONES, 9_000, "127.0.0.1:8000")[0]
+BUNDLE = deployments.build_bundle([SHAPE], ZONES, 9_100, 5)
+
+
+def changed(document: Any, path: str, value: Any) -> Any:
+    """Returns a copy with one value set; `...` removes the key."""
+    result = copy.deepcopy(document)
+    place = result
+    *parts, last = path.split(".")
+    for part in parts:
+        place = place[int(part) if isinstance(place, list) else part]
+    if value is ...:
+        del place[last]
+    elif isinstance(place, list):
+        place[int(last)] = value
+    else:
+        place[last] = value
+    return result
+
+
+def settings_faults(document: Any) -> list[exceptions.Fault]:
+    with pytest.raises(exceptions.DocumentError) as caught:
+        settings.load(json.dumps(document).encode())
+    return list(caught.value.faults)
+
+
+def bundle_faults(document: Any) -> list[exceptions.Fault]:
+    with pytest.raises(exceptions.DocumentError) as caught:
+        bundle_check.load(json.dumps(document).encode())
+    return list(caught.value.faults)
+
+
+class TestSettingsFaults:
+    """Each fault of a settings file has its path and a remedy."""
+
+    @pytest.mark.parametrize(
+        ("path", "value", "remedy"),
+        [
+            ("colour", 1, "remove the key"),
+            ("grace_limit_ms", 5, "write it as grace_limit_s, which counts s"),
+            ("log_levle", "info", "write it as log_level"),
+            ("peers.0.peer_adress", "x", "write it as peer_address"),
+            ("zone", ..., "add the key"),
+            ("zone", "Montreal A", "write it in the form"),
+            ("grace_limit_s", -1, "use a larger value"),
+            ("grace_limit_s", 3_601, "use a smaller value"),
+            ("grace_limit_s", "30s", "it counts seconds"),
+            ("grace_limit_s", "30", "it counts seconds"),
+            ("grace_limit_s", True, "it counts seconds"),
+            ("log_level", "loud", "write it in the form"),
+            ("operator_token", "short", "correct the value"),
+            ("operator_token", "sixteen letters ok", "use only letters"),
+            ("caller_address", "localhost:9000", "write an IP address"),
+            ("caller_address", "127.0.0.1", "write an IP address"),
+            ("caller_address", "127.0.0.1:0", "write an IP address"),
+            ("caller_address", "127.0.0.1:65536", "write an IP address"),
+            ("caller_address", "127.0.0.1:09000", "write an IP address"),
+            ("caller_address", "127.0.0.256:9000", "write an IP address"),
+            ("caller_address", "::1:9000", "write an IP address"),
+            ("caller_address", "[127.0.0.1]:9000", "write an IP address"),
+            ("peer_address", "0.0.0.0:9001", "write an IP address"),
+            ("platform_address", "[::]:9001", "write an IP address"),
+            ("operator_address", "127.0.0.1:9000", "give each server"),
+            ("operator_address", "0.0.0.0:9000", "give each server"),
+            ("platform_address", "127.0.0.1:9000", "give each server"),
+            ("peers.1.peer_address", "127.0.0.1:9004", "give each server"),
+            ("peers.1.peer_address", "127.0.0.1:9001", "give each server"),
+            ("peers.1.instance_id", "i1", "list each peer once"),
+            ("peers.1.instance_id", "i0", "list only other instances"),
+        ],
+    )
+    def test_one_fault(self, path: str, value: Any, remedy: str) -> None:
+        # Guards against a fault that is accepted, or reported elsewhere.
+        faults = settings_faults(changed(SETTINGS, path, value))
+        assert [f.path for f in faults] == [path]
+        assert remedy in faults[0].remedy
+
+    def test_all_faults_are_reported_at_once(self) -> None:
+        # Guards against relations that are checked only when all else is well.
+        document = changed(SETTINGS, "colour", 1)
+        document = changed(document, "zone", ...)
+        document = changed(document, "peers.1.instance_id", "i1")
+        document = changed(document, "operator_address", "127.0.0.1:9000")
+        paths = {fault.path for fault in settings_faults(document)}
+        assert paths == {
+            "colour",
+            "zone",
+            "peers.1.instance_id",
+            "operator_address",
+        }
+
+    def test_the_token_is_not_shown(self) -> None:
+        # Guards against a token in a terminal or log.
+        for token in ("short-tok-7", "long enough, but with spaces"):
+            document = changed(SETTINGS, "operator_token", token)
+            assert token not in str(settings_faults(document))
+        loaded = settings.load(json.dumps(SETTINGS).encode())
+        assert SETTINGS["operator_token"] not in repr(loaded)
+
+    @pytest.mark.parametrize("address", ["0.0.0.0:9000", "[::1]:9000"])
+    def test_valid_addresses(self, address: str) -> None:
+        # Guards against a check that refuses what servers accept.
+        document = changed(SETTINGS, "caller_address", address)
+        assert settings.load(json.dumps(document).encode())
+
+
+class TestBundleFaults:
+    """Each fault of a bundle has its path and a remedy."""
+
+    @pytest.mark.parametrize(
+        ("path", "value", "fault_path"),
+        [
+            ("services.0.hedge_percent", 5, None),
+            ("services.0.hedge_ratio", 1.5, None),
+            ("services.0.deadline_default_s", 1, None),
+            ("services.0.deadline_default_ms", "1s", None),
+            ("services.0.deadline_default_ms", 30_001, None),
+            (
+                "services.0.deadline_max_ms",
+                999,
+                "services.0.deadline_default_ms",
+            ),
+            ("services.0.weighs", "speed", None),
+            ("services.0.targets.0.address", "db1:80", None),
+            ("services.0.targets.1.address", "127.0.0.1:9100", None),
+            ("services.0.targets.1.target_id", "portal-t0", None),
+            ("services.0.targets.0.connection_limit", 4, None),
+            ("services.0.targets.0.slot_count", 0, None),
+            ("services.0.targets.0.slot_count", "3", None),
+            (
+                "services.0.shard_maps.0.shards.0.target_ids.0",
+                "t9",
+                "services.0.shard_maps.0.shards.0.target_ids",
+            ),
+            (
+                "services.0.shard_maps.0.shards.0.target_ids.0",
+                "portal-t1",
+                "services.0.shard_maps.0.shards.0.target_ids.1",
+            ),
+            ("services.0.shard_maps.0.shards.0.target_ids.1", "", None),
+            ("services.0.shard_maps.0.shards.1.shard_id", "s0", None),
+            ("services.0.shard_maps.0.shards", [], None),
+            ("callers.0.service_names.0", "other", "callers.0.service_names"),
+            ("callers.0.token_sha256", "abc", None),
+            ("instance_count_max", 0, None),
+        ],
+    )
+    def test_fault_is_at_its_path(
+        self, path: str, value: Any, fault_path: str | None
+    ) -> None:
+        # Guards against a fault that is accepted, or reported elsewhere.
+        faults = bundle_faults(changed(BUNDLE, path, value))
+        assert (fault_path or path) in [fault.path for fault in faults]
+        assert all(fault.remedy for fault in faults)
+
+    def test_all_faults_are_reported_at_once(self) -> None:
+        # Guards against references that are checked only when all else is well.
+        document = changed(BUNDLE, "services.0.colour", 1)
+        document = changed(document, "callers.0.service_names.0", "other")
+        document = changed(
+            document, "services.0.targets.1.target_id", "portal-t0"
+        )
+        paths = {fault.path for fault in bundle_faults(document)}
+        assert paths >= {
+            "services.0.colour",
+            "callers.0.service_names",
+            "services.0.targets.1.target_id",
+        }
+
+    def test_two_callers_with_one_token(self) -> None:
+        # Guards against a caller that is taken for another one.
+        document = copy.deepcopy(BUNDLE)
+        document["callers"].append({**document["callers"][0], "name": "other"})
+        paths = [fault.path for fault in bundle_faults(document)]
+        assert paths == ["callers.1.token_sha256"]
+
+    def test_size_limit(self) -> None:
+        # Guards against a bundle that the platform cannot store.
+        text = json.dumps(BUNDLE).encode()
+        with pytest.raises(exceptions.DocumentError) as caught:
+            bundle_check.load(text + b" " * bundle_check.BUNDLE_SIZE_MAX_BYTES)
+        assert caught.value.faults[0].path == "(document)"
+
+
+JSON_VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-5, 70_000)
+    | strategies.text(max_size=5),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=5), inner)
+    ),
+    max_leaves=5,
+)
+PATHS = strategies.sampled_from(
+    [
+        "services", "services.0", "services.0.name", "services.0.targets",
+        "services.0.targets.0", "services.0.targets.0.target_id",
+        "services.0.targets.0.address", "services.0.shard_maps.0.shards",
+        "services.0.shard_maps.0.shards.0.target_ids.0", "callers",
+        "callers.0.service_names", "callers.0.token_sha256",
+        "instance_count_max", "services.0.deadline_max_ms",
+    ]
+)  # fmt: skip
+
+
+class TestAnyDocument:
+    """Any JSON value is checked without a failure of the check."""
+
+    @given(PATHS, JSON_VALUES)
+    def test_bundle(self, path: str, value: Any) -> None:
+        # Guards against a traceback for values of an unexpected type.
+        bundle, faults = bundle_check.check(changed(BUNDLE, path, value))
+        assert (bundle is None) == bool(faults)
+
+    @given(
+        strategies.sampled_from(
+            ["peers", "peers.0", "peers.0.instance_id", "caller_address"]
+        ),
+        JSON_VALUES,
+    )
+    def test_settings(self, path: str, value: Any) -> None:
+        # Guards against a traceback for values of an unexpected type.
+        document = changed(SETTINGS, path, value)
+        loaded, faults = settings.check(document)
+        assert (loaded is None) == bool(faults)
