--- a/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
@@ -28,6 +28,10 @@
 from lycheerock._internal.peers import links as links_lib
 from lycheerock._internal.peers import server as peer_server
 from lycheerock._internal.platform import client as client_lib
+from lycheerock._internal.query import records as records_lib
+from lycheerock._internal.query import search as search_lib
+from lycheerock._internal.query import sender as sender_lib
+from lycheerock._internal.query import service_states
 from lycheerock_model import settings as settings_lib
 
 _LOG = structlog.get_logger()
@@ -46,6 +50,10 @@
             settings, self.incarnation
         )
         self._channels = channels_lib.Channels()
+        self._candidates = tuple(
+            ownership.Candidate(member.instance_id, member.region, member.zone)
+            for member in (self._directory.own, *self._directory.peers())
+        )
         self._target_states = target_states_lib.TargetStates()
         self._bundle_view = views.BundleView()
         self._store.subscribe(self._bundle_view.apply)
@@ -56,10 +64,22 @@
             for peer in self._directory.peers()
         }
         self._dispatcher = dispatcher_lib.Dispatcher(
-            settings.instance_id, self._candidates, self._links
+            settings.instance_id,
+            lambda: self._candidates,
+            self._links,
+            self._target_states,
         )
         self._store.subscribe(self._dispatcher.apply)
-        self._platform = client_lib.PlatformClient(settings.platform_address)
+        states = service_states.ServiceStates()
+        self._store.subscribe(states.apply)
+        context = sender_lib.Context(
+            self._dispatcher, self._target_states, states
+        )
+        self._searcher = search_lib.Searcher(context)
+        self._records = records_lib.Records()
+        self._platform = client_lib.PlatformClient(
+            settings.platform_address, settings.instance_id
+        )
         configured = (
             network_lib.PeerAddress(peer.instance_id, peer.peer_address)
             for peer in settings.peers
@@ -75,20 +95,9 @@
         )
         self._forwarder = forwarding.Forwarder(self._directory, self._channels)
         self._runner = runner_lib.Runner(
-            table, self._dispatcher, self._forwarder.forward
+            table, context, self._forwarder.forward
         )
 
-    def _candidates(self) -> list[ownership.Candidate]:
-        reachable = [
-            peer
-            for peer in self._directory.peers()
-            if self._links[peer.instance_id].is_ready
-        ]
-        return [
-            ownership.Candidate(member.instance_id, member.region, member.zone)
-            for member in (self._directory.own, *reachable)
-        ]
-
     async def run(self) -> None:
         """Serves until SIGTERM or SIGINT."""
         loop = asyncio.get_running_loop()
@@ -114,8 +123,9 @@
         entry = entry_server.EntryServer(
             f"{self._settings.instance_id}.{self.incarnation:x}",
             self._store,
-            self._dispatcher,
+            self._searcher,
             self._runner,
+            records=self._records,
         )
         await _serve(stack, entry.build(), self._settings.caller_address)
         operator = operator_wiring.build(self._operator_parts())
