Connect request records, metrics and request log lines

Cause: records and metrics of requests had landed but the daemon did not pass them to each other, and no log line told of a refused request.

Change: the daemon gives the entry its metrics and records. The entry binds request id, caller and service as context variables of the log, and calls an observer at the end of each request, which writes one line (info if refused or failed, else debug) and counts refusals by kind. Requests without a known service or caller count under "_unknown".

--- a/packages/ctl/src/lycheectl/_internal/fleet.py
+++ b/packages/ctl/src/lycheectl/_internal/fleet.py
@@ -17,7 +17,7 @@
 )  # fmt: skip
 _TARGET_HEADS = (
     "TARGET", "SERVICE", "ZONE", "OWNER", "STANDBY", "LEAVING", "MARKED BY",
-    "IN FLIGHT", "CONNECTIONS", "QUEUED",
+    "IN FLIGHT", "CONNECTIONS", "WAITING",
 )  # fmt: skip
 
 
@@ -111,7 +111,7 @@
         _agreed(marked_by),
         _sum(views, "in_flight"),
         _sum(views, "connections"),
-        _sum(views, "queued"),
+        _sum(views, "waiting"),
     )
 
 
--- a/packages/daemon/src/lycheerock/_internal/entry/server.py
+++ b/packages/daemon/src/lycheerock/_internal/entry/server.py
@@ -66,6 +66,7 @@
         records: records_lib.Records | None = None,
         metrics: metrics_lib.RequestMetrics | None = None,
         admission: admission_lib.Admission | None = None,
+        observe_end: Callable[[answers.Answer, float], None] | None = None,
     ):
         self._prefix = request_id_prefix
         self._ids = itertools.count(1)
@@ -75,6 +76,7 @@
         self._records = records or records_lib.Records()
         self._metrics = metrics or metrics_lib.NoMetrics()
         self._admission = admission or admission_lib.Admission()
+        self._observe_end = observe_end
 
     def build(self) -> aiohttp.web.Application:
         """Returns the aiohttp application."""
@@ -120,6 +122,10 @@
     def _handler(self, serve: _Serve) -> _Handler:
         async def handle(request: aiohttp.web.Request) -> aiohttp.web.Response:
             context = _Context(request, self._next_id(), time.monotonic())
+            structlog.contextvars.clear_contextvars()
+            structlog.contextvars.bind_contextvars(
+                request_id=context.request_id
+            )
             completed, refused = await self._complete(context, serve)
             self._note(context, completed)
             if refused:
@@ -158,6 +164,7 @@
         caller = access.authenticate(bundle, headers)
         context.bundle = bundle
         context.caller = caller.name
+        structlog.contextvars.bind_contextvars(caller=caller.name)
         return bundle, caller
 
     def _refusal_outcome(self, context: _Context) -> answers.Outcome:
@@ -197,6 +204,8 @@
             first_attempt_count=completed.first_attempt_count,
             extra_attempt_count=completed.extra_attempt_count,
         )
+        if self._observe_end is not None:
+            self._observe_end(answer, elapsed_s)
 
     async def _search(
         self,
@@ -266,6 +275,7 @@
         bundle, caller, context.http.match_info["service"]
     )
     context.service = service.name
+    structlog.contextvars.bind_contextvars(service=service.name)
     deadline_ms = access.read_deadline_ms(service, context.http.headers)
     return service, context.received_s + deadline_ms / 1000
 
--- a/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
@@ -21,6 +21,7 @@
 from lycheerock._internal.dispatch import target_states as target_states_lib
 from lycheerock._internal.entry import server as entry_server
 from lycheerock._internal.lifecycle import operator_wiring
+from lycheerock._internal.lifecycle import request_ends
 from lycheerock._internal.membership import directory as directory_lib
 from lycheerock._internal.operator import metrics as metrics_lib
 from lycheerock._internal.operator import views
@@ -126,6 +127,8 @@
             self._searcher,
             self._runner,
             records=self._records,
+            metrics=self._metrics,
+            observe_end=request_ends.observer(self._metrics),
         )
         await _serve(stack, entry.build(), self._settings.caller_address)
         operator = operator_wiring.build(self._operator_parts())
@@ -142,7 +145,7 @@
             bundle_actions=self._bundles.actions,
             dispatch_state=self._dispatcher.state,
             target_states=self._target_states,
-            records=_NoRecords(),
+            records=self._records,
             metrics=self._metrics,
             platform_calls=self._platform.call_counts,
         )
@@ -172,13 +175,6 @@
         }
 
 
-class _NoRecords:
-    """Stands in until request records are kept."""
-
-    def find(self, request_id: str) -> None:
-        """Returns None."""
-
-
 async def _serve(
     stack: contextlib.AsyncExitStack,
     app: aiohttp.web.Application,
--- a/packages/daemon/src/lycheerock/_internal/operator/metrics.py
+++ b/packages/daemon/src/lycheerock/_internal/operator/metrics.py
@@ -15,7 +15,9 @@
 # Names beyond this number share one label value, so that a change of names
 # cannot make the metrics of a long-lived process grow without limit.
 LABEL_VALUES_MAX = 200
-OTHER_LABEL = "other"
+# No name of a service or caller begins with an underscore.
+OTHER_LABEL = "_other"
+UNKNOWN_LABEL = "_unknown"
 
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
 
@@ -87,8 +89,8 @@
         """Counts one caller request, at the time of its answer.
 
         Args:
-          service: Name of the service.
-          caller: Name of the caller.
+          service: Name of the service; empty if the request named none.
+          caller: Name of the caller; empty if it is not known.
           outcome: Outcome of the answer.
           elapsed_s: Seconds from receipt to answer.
           covered_count: Shards that the answer covers.
@@ -96,7 +98,7 @@
           first_attempt_count: First shard requests that were sent.
           extra_attempt_count: Hedges, retries and repeats that were sent.
         """
-        label = self._services.admit(service)
+        label = self._services.admit(service or UNKNOWN_LABEL)
         counts = self.counts.setdefault(label, ServiceCounts())
         outcome = str(outcome)
         counts.outcomes[outcome] = counts.outcomes.get(outcome, 0) + 1
@@ -106,7 +108,8 @@
         counts.first_attempts += first_attempt_count
         counts.extra_attempts += extra_attempt_count
         self._latency(label).record_value(_to_recordable_us(elapsed_s))
-        _increment(self.requests_by_caller, self._callers.admit(caller))
+        caller_label = self._callers.admit(caller or UNKNOWN_LABEL)
+        _increment(self.requests_by_caller, caller_label)
 
     def observe_refusal(self, kind: str) -> None:
         """Counts one refused caller request.
--- a/packages/daemon/src/lycheerock/_internal/operator/views.py
+++ b/packages/daemon/src/lycheerock/_internal/operator/views.py
@@ -134,7 +134,7 @@
 _TARGET_GAUGES = (
     ("in_flight", "Requests of this instance that a target is serving."),
     ("connections", "Connections of this instance to a target."),
-    ("queued", "Requests that wait for a slot of a target."),
+    ("waiting", "Requests that wait for a slot of a target."),
 )
 
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -12,6 +12,9 @@
 import structlog
 
 from lycheerock._internal.lifecycle import logs
+from lycheerock._internal.lifecycle import request_ends
+from lycheerock._internal.operator import metrics as metrics_lib
+from lycheerock_model import answers
 
 SECRET = 'opera"tor-töken-for-tests'
 
@@ -95,3 +98,32 @@
         logging.getLogger("x").warning("d")
         assert [line["event"] for line in lines(stream)] == ["b"]
         assert logs.get_level() == "error"
+
+
+class TestRequestLines:
+    """One line per caller request."""
+
+    @pytest.mark.parametrize(
+        ("outcome", "error", "level"),
+        [
+            ("done", None, "debug"),
+            ("done", "coverage", "info"),
+            ("not_run", "overloaded", "info"),
+            ("unknown", None, "info"),
+        ],
+    )
+    def test_level_follows_the_answer(
+        self, stream: io.StringIO, outcome: str, error: str | None, level: str
+    ) -> None:
+        # Guards against refusals that do not show at the usual level, and
+        # against a line per served request at that level.
+        metrics = metrics_lib.RequestMetrics()
+        body = answers.ErrorBody(error, "p", "r") if error else None
+        answer = answers.Answer(
+            answers.Outcome(outcome), "i0.1.1", 1, error=body
+        )
+        logs.set_level("debug")
+        request_ends.observer(metrics)(answer, 0.0125)
+        line = lines(stream)[0]
+        assert (line["level"], line["elapsed_ms"]) == (level, 12.5)
+        assert metrics.refusals == ({error: 1} if error else {})
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -46,6 +46,13 @@
         assert len(metrics.latencies) == 4
         assert metrics.requests_by_caller[metrics_lib.OTHER_LABEL] == 47
 
+    def test_requests_without_names_are_counted_apart(self) -> None:
+        # Guards against refused requests that no metric shows.
+        metrics = metrics_lib.RequestMetrics()
+        observe(metrics, service="", caller="")
+        assert metrics.counts["_unknown"].outcomes == {"done": 1}
+        assert metrics.requests_by_caller == {"_unknown": 1}
+
     @pytest.mark.parametrize("elapsed_s", [-1.0, 0.0, 5_000.0])
     def test_elapsed_out_of_range_is_recorded(self, elapsed_s: float) -> None:
         # Guards against a lost sample when a value is out of range.
