Add example bundles and settings

Change: lycheerock-bench write-examples writes the bundles of Tablée and Herrajes at today's sizes (27 services each, 84 and 81 targets), one service with a search over 980 shards, and the settings of one of five instances.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := model protocol daemon ctl bench
 LOCAL := build/local
 
-.PHONY: install demo test check format generate lock
+.PHONY: install demo test check format generate examples lock
 
 install: $(VENV)/installed
 
@@ -37,6 +37,9 @@
 	  --grpc_python_out=packages/protocol/src \
 	  packages/protocol/src/lycheerock_protocol/peer.proto
 
+examples: install
+	$(BIN)/lycheerock-bench write-examples --directory examples
+
 lock: install
 	$(BIN)/pip-compile -q --generate-hashes --no-emit-index-url \
 	  --no-emit-find-links --no-emit-trusted-host --no-emit-options \
--- a/packages/bench/src/lycheerock_bench/__main__.py
+++ b/packages/bench/src/lycheerock_bench/__main__.py
@@ -11,6 +11,7 @@
 
 from lycheerock_bench._internal import demo
 from lycheerock_bench._internal import deployments
+from lycheerock_bench._internal import examples
 from lycheerock_bench._internal import fake_platform
 from lycheerock_bench._internal import fake_target
 from lycheerock_bench._internal import measure_costs as costs
@@ -92,6 +93,15 @@
         _write(directory / f"{settings['instance_id']}.json", settings)
 
 
+def write_examples(*, directory: pathlib.Path) -> None:
+    """Writes the bundles and settings under examples/.
+
+    Args:
+      directory: The directory examples.
+    """
+    examples.write(directory)
+
+
 def _write(path: pathlib.Path, document: object) -> None:
     text = json.dumps(document, indent=2, ensure_ascii=False)
     path.write_text(text + "\n", encoding="utf-8")
@@ -187,6 +197,7 @@
                 platform,
                 targets,
                 write_local,
+                write_examples,
                 run_demo,
                 measure_serving,
                 measure_costs,
