--- a/packages/bench/src/lycheerock_bench/_internal/examples.py
+++ b/packages/bench/src/lycheerock_bench/_internal/examples.py
@@ -21,8 +21,8 @@
 FAN_OUT = 980
 
 # Targets go round-robin over the zones, and the two replicas of a shard are on
-# neighbours. Six zones keep them apart in services of 3, 6 and 980 targets; with
-# five, the last and the first of 6 targets would share a zone.
+# neighbours. Six zones keep them apart in services of 3, 6 and 980 targets;
+# with five, the last and the first of 6 targets would share a zone.
 TABLEE_ZONES = [
     ("montreal", "montreal-a"),
     ("quebec", "quebec-a"),
