--- a/packages/bench/src/lycheerock_bench/__main__.py
+++ b/packages/bench/src/lycheerock_bench/__main__.py
@@ -70,7 +70,7 @@
 def write_local(
     *, directory: pathlib.Path, instances: int = 3, first_port: int = 18_000
 ) -> None:
-    """Writes the bundle and the settings of a small local deployment.
+    """Writes the files of a small local deployment.
 
     Args:
       directory: Where the files go.
@@ -87,10 +87,13 @@
     )
     _write(directory / "bundle.json", bundle)
     address = f"127.0.0.1:{first_port}"
-    for settings in deployments.build_settings(
+    documents = deployments.build_settings(
         instances, LOCAL_ZONES, first_port + 200, address
-    ):
+    )
+    for settings in documents:
         _write(directory / f"{settings['instance_id']}.json", settings)
+    config = deployments.build_ctl_config(documents, "local-operator")
+    _write(directory / "lycheectl.json", config)
 
 
 def write_examples(*, directory: pathlib.Path) -> None:
--- a/packages/bench/src/lycheerock_bench/_internal/demo.py
+++ b/packages/bench/src/lycheerock_bench/_internal/demo.py
@@ -71,7 +71,7 @@
                 answer = await response.json()
         except aiohttp.ClientConnectorError:
             answer = {"outcome": "not_run"}
-        if answer["outcome"] == "done":
+        if answer["outcome"] == "done" and not answer["lacking"]:
             break
         await asyncio.sleep(READY_DELAY_S)
     return answer
--- a/packages/bench/src/lycheerock_bench/_internal/deployments.py
+++ b/packages/bench/src/lycheerock_bench/_internal/deployments.py
@@ -1,5 +1,7 @@
 """Builds bundles and instance settings for local deployments."""
 
+from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import hashlib
 from typing import Any
@@ -142,3 +144,25 @@
             if other is not settings
         ]
     return instances
+
+
+def build_ctl_config(
+    settings: Iterable[Mapping[str, Any]], operator: str
+) -> dict[str, Any]:
+    """Builds the configuration of lycheectl.
+
+    Args:
+      settings: Settings of the instances.
+      operator: Name of the operator.
+
+    Returns:
+      The configuration as a JSON value.
+    """
+    return {
+        "instances": {
+            document["instance_id"]: document["operator_address"]
+            for document in settings
+        },
+        "token": OPERATOR_TOKEN,
+        "operator": operator,
+    }
--- a/packages/ctl/src/lycheectl/_internal/actions.py
+++ b/packages/ctl/src/lycheectl/_internal/actions.py
@@ -1,6 +1,7 @@
 """Drains, log level, and the record of one request."""
 
 from collections.abc import Mapping
+from typing import Any
 import urllib.parse
 
 from lycheectl._internal import client as client_lib
@@ -78,9 +79,39 @@
     if not values:
         return output.Report(None, (), errors, output.FAILED)
     name, value = next(iter(values.items()))
-    lines = [f"[{name}]", *fleet.flat_lines(value["request"])]
+    lines = _record_lines(name, value["request"])
     return output.Report({"instance_id": name, **value}, lines)
 
 
+_ATTEMPT_HEADS = (
+    "ATTEMPT", "KIND", "SHARD", "TARGET", "START MS", "TOOK MS", "STATUS",
+)  # fmt: skip
+
+
+def _record_lines(name: str, record: dict[str, Any]) -> list[str]:
+    plain = {
+        key: value
+        for key, value in record.items()
+        if not isinstance(value, list) and value not in ("", None)
+    }
+    lines = [f"[{name}]", *fleet.flat_lines(plain)]
+    lines.append(f"covered = {len(record['covered'])} shards")
+    for lacking in record["lacking"]:
+        lines.append(f"lacking = {lacking['shard']} ({lacking['reason']})")
+    rows = [
+        (
+            index,
+            attempt["kind"],
+            attempt["shard"],
+            attempt["target_id"],
+            attempt["start_offset_s"] * 1000,
+            attempt["elapsed_s"] * 1000,
+            attempt["status"],
+        )
+        for index, attempt in enumerate(record["attempts"], start=1)
+    ]
+    return [*lines, *(output.table(_ATTEMPT_HEADS, rows) if rows else ())]
+
+
 def _quote(name: str) -> str:
     return urllib.parse.quote(name, safe="")
--- a/packages/ctl/src/lycheectl/_internal/bundles.py
+++ b/packages/ctl/src/lycheectl/_internal/bundles.py
@@ -58,7 +58,8 @@
     if isinstance(reply, result.Failure):
         return output.failed("diff", reply.failure())
     in_force = reply.unwrap()
-    changes = diff_lib.compare(in_force, msgspec.to_builtins(bundle))
+    proposed = msgspec.json.decode(msgspec.json.encode(bundle))
+    changes = diff_lib.compare(in_force, proposed)
     head = f"{len(changes)} changes against bundle {in_force['number']}"
     value = {"against": in_force["number"], "changes": changes}
     return output.Report(value, (head, *diff_lib.lines(changes)))
--- a/packages/ctl/src/lycheectl/_internal/runner.py
+++ b/packages/ctl/src/lycheectl/_internal/runner.py
@@ -47,6 +47,11 @@
         return output.show(action(), as_json=as_json)
     except exceptions.DocumentError as error:
         return _print_faults(error, output.FAILED)
+    except BrokenPipeError:
+        # The reader of the output, such as head, has seen enough. The
+        # interpreter must not write the rest at its exit.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return output.FAILED
     except OSError as error:
         print(f"{error}; name a readable file", file=sys.stderr)
         return output.USAGE
--- a/tests/test_lycheectl.py
+++ b/tests/test_lycheectl.py
@@ -8,6 +8,7 @@
 
 import aiohttp.test_utils
 import aiohttp.web
+import msgspec
 import pytest
 
 from lycheectl._internal import actions
@@ -18,9 +19,12 @@
 from lycheectl._internal import fleet
 from lycheectl._internal import output
 from lycheectl._internal import waiting
+from lycheerock_bench._internal import deployments
 from lycheerock_model import answers
+from lycheerock_model import bundle_check
 from lycheerock_model import exceptions
 
+SHAPE = deployments.ServiceShape("portal", "latency", 3, 4, 2, 3, 30)
 TOKEN = "operator-token-for-tests"
 
 
@@ -111,6 +115,26 @@
             "~ services.q.hedge_ratio: 0.05 -> 0.1",
         ]
 
+    def test_a_file_is_compared_with_the_bundle_in_force(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        # Guards against defaults and equal lists that show as changes.
+        bundle = deployments.build_bundle([SHAPE], [("r", "za")], 9_100, 5)
+        checked, _ = bundle_check.check(bundle)
+        in_force = json.loads(msgspec.json.encode(checked))
+        caller = in_force["callers"][0]
+        caller["token_sha256"] = caller["token_sha256"][:8]
+        path = tmp_path / "b.json"
+        path.write_text(json.dumps(bundle | {"instance_count_max": 4}))
+        report = serve(
+            {("GET", "/ops/bundle-in-force"): (200, in_force)},
+            lambda c: bundles.diff(c, path),
+        )
+        assert list(report.lines) == [
+            "1 changes against bundle 1",
+            "~ instance_count_max: 5 -> 4",
+        ]
+
 
 def rollout(**changes: Any) -> dict[str, Any]:
     report = {"acknowledged": True, "required": True, "reachable": True}
