--- a/packages/bench/src/lycheerock_bench/__main__.py
+++ b/packages/bench/src/lycheerock_bench/__main__.py
@@ -12,6 +12,7 @@
 from lycheerock_bench._internal import booking_trial as booking_trial_lib
 from lycheerock_bench._internal import demo
 from lycheerock_bench._internal import deployments
+from lycheerock_bench._internal import examples
 from lycheerock_bench._internal import fake_platform
 from lycheerock_bench._internal import fake_target
 from lycheerock_bench._internal import measure_costs as costs
@@ -70,7 +71,7 @@
 def write_local(
     *, directory: pathlib.Path, instances: int = 3, first_port: int = 18_000
 ) -> None:
-    """Writes the bundle and the settings of a small local deployment.
+    """Writes the files of a small local deployment.
 
     Args:
       directory: Where the files go.
@@ -87,10 +88,22 @@
     )
     _write(directory / "bundle.json", bundle)
     address = f"127.0.0.1:{first_port}"
-    for settings in deployments.build_settings(
+    documents = deployments.build_settings(
         instances, LOCAL_ZONES, first_port + 200, address
-    ):
+    )
+    for settings in documents:
         _write(directory / f"{settings['instance_id']}.json", settings)
+    config = deployments.build_ctl_config(documents, "local-operator")
+    _write(directory / "lycheectl.json", config)
+
+
+def write_examples(*, directory: pathlib.Path) -> None:
+    """Writes the bundles and settings under examples/.
+
+    Args:
+      directory: The directory examples.
+    """
+    examples.write(directory)
 
 
 def _write(path: pathlib.Path, document: object) -> None:
@@ -207,6 +220,7 @@
                 platform,
                 targets,
                 write_local,
+                write_examples,
                 run_demo,
                 measure_serving,
                 measure_costs,
