--- a/packages/bench/src/lycheerock_bench/__main__.py
+++ b/packages/bench/src/lycheerock_bench/__main__.py
@@ -1,5 +1,6 @@
 """Command layer of the bench."""
 
+import dataclasses
 import json
 import pathlib
 import sys
@@ -11,9 +12,14 @@
 from lycheerock_bench._internal import booking_trial as booking_trial_lib
 from lycheerock_bench._internal import demo
 from lycheerock_bench._internal import deployments
+from lycheerock_bench._internal import examples
 from lycheerock_bench._internal import fake_platform
 from lycheerock_bench._internal import fake_target
+from lycheerock_bench._internal import measure_costs as costs
+from lycheerock_bench._internal import measure_ownership as ownership
+from lycheerock_bench._internal import measure_serving as measure
 from lycheerock_bench._internal import serving
+from lycheerock_bench._internal import serving_scenarios
 from lycheerock_model import bundle_check
 
 LOCAL_ZONES = [("montreal", "montreal-a"), ("montreal", "montreal-b")]
@@ -65,7 +71,7 @@
 def write_local(
     *, directory: pathlib.Path, instances: int = 3, first_port: int = 18_000
 ) -> None:
-    """Writes the bundle and the settings of a small local deployment.
+    """Writes the files of a small local deployment.
 
     Args:
       directory: Where the files go.
@@ -82,10 +88,22 @@
     )
     _write(directory / "bundle.json", bundle)
     address = f"127.0.0.1:{first_port}"
-    for settings in deployments.build_settings(
+    documents = deployments.build_settings(
         instances, LOCAL_ZONES, first_port + 200, address
-    ):
+    )
+    for settings in documents:
         _write(directory / f"{settings['instance_id']}.json", settings)
+    config = deployments.build_ctl_config(documents, "local-operator")
+    _write(directory / "lycheectl.json", config)
+
+
+def write_examples(*, directory: pathlib.Path) -> None:
+    """Writes the bundles and settings under examples/.
+
+    Args:
+      directory: The directory examples.
+    """
+    examples.write(directory)
 
 
 def _write(path: pathlib.Path, document: object) -> None:
@@ -110,6 +128,71 @@
         )
 
 
+def measure_serving(
+    *,
+    scenarios: list[str] = list(serving_scenarios.SCENARIOS),
+    variants: list[str] = ["plain", "owner"],
+    plain_source: pathlib.Path | None = None,
+    plan: tuple[int, float, float, int] = (5, 40.0, 12.0, 1),
+) -> None:
+    """Measures variants of the serving path under the same faults.
+
+    Args:
+      scenarios: Names of the scenarios.
+      variants: Names of the variants: plain, direct, owner.
+      plain_source: Tree whose daemon serves the plain variant; this one if
+        absent.
+      plan: Number of instances, searches per second and service, measured
+        seconds, seed.
+    """
+    found = []
+    for name in scenarios:
+        for variant_name in variants:
+            variant = measure.VARIANTS[variant_name]
+            if variant_name == "plain":
+                variant = dataclasses.replace(variant, source=plain_source)
+            run = measure.measure(
+                serving_scenarios.SCENARIOS[name], variant, measure.Plan(*plan)
+            )
+            with aiomisc.entrypoint(log_config=False) as loop:
+                found.append(loop.run_until_complete(run))
+            print(measure.to_table(found[-1:]), flush=True)
+    print(measure.to_table(found))
+
+
+def measure_costs(*, duration: float = 8.0) -> None:
+    """Measures processor time and memory per shard request and per target.
+
+    Args:
+      duration: Measured seconds per run.
+    """
+    with aiomisc.entrypoint(log_config=False) as loop:
+        for relayed in (False, True):
+            for shard_count, rate in ((10, 40.0), (98, 4.0), (980, 0.5)):
+                run = costs.measure_fan_out(
+                    shard_count, rate, duration, relayed=relayed
+                )
+                _print_json(loop.run_until_complete(run))
+        for target_count in (30, 300, 2_700):
+            run_bundle = costs.measure_bundle(target_count)
+            _print_json(loop.run_until_complete(run_bundle))
+
+
+def measure_ownership(*, instances: int = 5, targets: int = 2_700) -> None:
+    """Compares ways to assign targets to instances.
+
+    Args:
+      instances: Instances before one is added.
+      targets: Number of targets.
+    """
+    for result in ownership.compare(instances, targets):
+        _print_json(result)
+
+
+def _print_json(value: object) -> None:
+    print(msgspec.json.encode(value).decode(), flush=True)
+
+
 def booking_trial(*, directory: pathlib.Path, bookings: int = 200) -> None:
     """Compares platform writes and refusals of two ways to book at most once.
 
@@ -133,7 +216,17 @@
     """Entry point of the `lycheerock-bench` binary."""
     sys.exit(
         defopt.run(
-            [platform, targets, write_local, run_demo, booking_trial],
+            [
+                platform,
+                targets,
+                write_local,
+                write_examples,
+                run_demo,
+                measure_serving,
+                measure_costs,
+                measure_ownership,
+                booking_trial,
+            ],
             cli_options="all",
             short={},
         )
--- a/packages/bench/src/lycheerock_bench/harness.py
+++ b/packages/bench/src/lycheerock_bench/harness.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import pathlib
 import random
 import signal
@@ -38,6 +39,8 @@
       bundle: The first bundle, a JSON value; may be changed before `start`.
       settings: Settings of each instance by id; may be changed before `start`.
       directory: Where files and logs go.
+      installed_bundle: Bundle that instances get, if not `bundle`.
+      daemon_source: Root of the tree whose daemon is run, if not this one.
     """
 
     def __init__(
@@ -65,13 +68,18 @@
         )
         self.settings = {d["instance_id"]: d for d in documents}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.installed_bundle: dict[str, Any] | None = None
+        self.daemon_source: pathlib.Path | None = None
         self._stack = contextlib.AsyncExitStack()
 
-    async def start(self, *, separate_targets: bool = False) -> None:
+    async def start(
+        self, *, separate_targets: bool = False, with_targets: bool = True
+    ) -> None:
         """Starts all processes and waits until every instance is ready.
 
         Args:
           separate_targets: Whether each target gets a process of its own.
+          with_targets: Whether targets are started at all.
         """
         self.directory.mkdir(parents=True, exist_ok=True)
         self.session = await self._stack.enter_async_context(
@@ -79,8 +87,10 @@
         )
         _write(self.directory / "bundle.json", self.bundle)
         self.start_platform()
-        self._start_targets(separate=separate_targets)
-        await demo.install(self.session, self.platform, self.bundle)
+        if with_targets:
+            self._start_targets(separate=separate_targets)
+        bundle = self.installed_bundle or self.bundle
+        await demo.install(self.session, self.platform, bundle)
         await self.set_listed(list(self.settings))
         for instance_id in self.settings:
             self.start_instance(instance_id)
@@ -123,8 +133,20 @@
                 [sys.executable, "-m", module, *arguments],
                 stdout=log,
                 stderr=subprocess.STDOUT,
+                env=self._environment(module),
             )
 
+    def _environment(self, module: str) -> dict[str, str]:
+        environment = dict(os.environ)
+        if module == "lycheerock" and self.daemon_source is not None:
+            packages = self.daemon_source / "packages"
+            paths = [
+                str(packages / name / "src")
+                for name in ("model", "protocol", "daemon")
+            ]
+            environment["PYTHONPATH"] = os.pathsep.join(paths)
+        return environment
+
     def targets(self) -> list[dict[str, Any]]:
         """Returns all targets of the bundle."""
         services = self.bundle["services"]
@@ -252,6 +274,12 @@
         async with self.session.get(url) as reply:
             return await reply.json()
 
+    async def platform_control(self, name: str) -> Any:
+        """Returns what the fake platform recorded: client_counts or writes."""
+        url = f"http://{self.platform}/control/{name}"
+        async with self.session.get(url) as reply:
+            return await reply.json()
+
     async def set_listed(
         self, live: list[str], leaving: list[str] | None = None
     ) -> None:
@@ -305,4 +333,4 @@
 
 
 def _write(path: pathlib.Path, document: object) -> None:
-    path.write_text(json.dumps(document, indent=2) + "\n", encoding="utf-8")
+    path.write_text(json.dumps(document) + "\n", encoding="utf-8")
