--- a/features/steps/history_steps.py
+++ b/features/steps/history_steps.py
@@ -11,6 +11,7 @@
 from behave import then
 from behave import when
 
+from lycheerock_bench import bundle_runs
 from lycheerock_bench import harness
 from lycheerock_bench import history
 from lycheerock_bench import streams
@@ -51,13 +52,13 @@
         bundle = copy.deepcopy(context.deployment.bundle)
         for service in bundle["services"]:
             service["shard_maps"].append(_second_map(service))
-        await _put_in_force(context, bundle, 2)
+        await _put_in_force(context, bundle)
         await _hold(context, {1: [2], 2: [2]})
         await _hold(context, {2: [2, 3]})
         bundle = copy.deepcopy(bundle)
         for service in bundle["services"]:
             del service["shard_maps"][0]
-        await _put_in_force(context, bundle, 3)
+        await _put_in_force(context, bundle)
         context.mark = stream.number
         await stream.progress(PHASE_REQUESTS)
         await stream.stop()
@@ -94,25 +95,12 @@
     return {"shard_map_version": 2, "shards": shards}
 
 
-async def _put_in_force(context: Any, bundle: Any, number: int) -> None:
+async def _put_in_force(context: Any, bundle: Any) -> None:
     deployment = context.deployment
-    bundle["number"] = number
-    base = f"http://{deployment.platform}/objects"
-    url = f"{base}/bundles/{number}?if_version=0"
-    async with deployment.session.put(url, json=bundle) as reply:
-        reply.raise_for_status()
-    async with deployment.session.get(f"{base}/rollout/current") as reply:
-        stored = await reply.json()
-    rollout = stored["value"] | {"in_force": number}
-    url = f"{base}/rollout/current?if_version={stored['version']}"
-    async with deployment.session.put(url, json=rollout) as reply:
-        reply.raise_for_status()
-    for instance in deployment.settings:
-        while True:
-            state = await deployment.ops(instance, "/ops/state")
-            if state["bundle_number"] >= number:
-                break
-            await asyncio.sleep(0.05)
+    deployment.bundle = bundle
+    number = await bundle_runs.prepare(deployment, "i0")
+    await bundle_runs.request_rollout(deployment, "i0", number)
+    await bundle_runs.wait_for(deployment, deployment.settings, in_force=number)
 
 
 @when("a target is killed during searches")
