--- a/packages/daemon/src/lycheerock/_internal/bundles/confirmation.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/confirmation.py
@@ -11,16 +11,16 @@
 
 PEERS_ASKED_MAX = 8
 FETCH_PEERS_MAX = 3
-MILLISECONDS_PER_S = 1_000
 
 
 class PeerConfirmation:
     """Asks peers which bundle they admit requests under.
 
-    A peer that admits requests is itself within the contact limit, so its
-    number is a safe one. After the start, most of the configured peers must
-    have answered, so that a small group that the others have left behind cannot
-    confirm itself.
+    A peer that admits requests and has acknowledged no open rollout knows that
+    its number is the accepted one; during a rollout the coordinator or the
+    platform confirms instead. After the start, most of the configured peers
+    must have answered, so that a small group that the others have left behind
+    cannot confirm itself.
     """
 
     def __init__(
@@ -50,20 +50,11 @@
         if store.number == 0 or not self._has_majority():
             return False
         for _, reply in replies:
-            if reply.admitting and reply.in_force == store.number:
-                self._bind(reply, asked_s)
-                if store.gate is not None:
-                    return store.gate.confirm(asked_s, store.now_s())
+            knows = reply.admitting and not reply.rollout_number
+            if knows and reply.in_force == store.number and store.gate:
+                return store.gate.confirm(asked_s, store.now_s())
         return False
 
-    def _bind(self, reply: peer_pb2.BundleStatusReply, asked_s: float) -> None:
-        # The age makes chains of confirmations no longer than the contact
-        # limit of the first instance in the chain.
-        age_s = reply.contact_age_ms / MILLISECONDS_PER_S
-        self._learner.store.state.bind(
-            reply.rollout_number, reply.rollout_epoch, asked_s - age_s
-        )
-
     async def _collect(self) -> list[tuple[str, peer_pb2.BundleStatusReply]]:
         if self._has_majority():
             addresses = self._network.sample(PEERS_ASKED_MAX)
--- a/packages/daemon/src/lycheerock/_internal/bundles/coordinator_state.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/coordinator_state.py
@@ -49,6 +49,7 @@
         self.phase = Phase.STAGING
         self._required: dict[str, int] = {}
         self._acknowledged: dict[str, int] = {}
+        self._incarnations: dict[str, int] = {}
         self._tokens: dict[str, int] = {}
         self._problems: dict[str, str] = {}
 
@@ -65,9 +66,12 @@
         if (reply.number, reply.epoch) != (self.number, self.epoch):
             return
         instance_id = reply.instance_id
+        newest = self._incarnations.get(instance_id, 0)
+        if reply.incarnation < newest:
+            return
+        self._incarnations[instance_id] = reply.incarnation
         if reply.acknowledged:
-            newest = self._acknowledged.get(instance_id, 0)
-            self._acknowledged[instance_id] = max(newest, reply.incarnation)
+            self._acknowledged[instance_id] = reply.incarnation
             self._problems.pop(instance_id, None)
         else:
             self._problems[instance_id] = reply.problem
@@ -94,7 +98,10 @@
 
     def _has_acknowledged(self, instance_id: str, incarnation: int) -> bool:
         acknowledged = self._acknowledged.get(instance_id)
-        return acknowledged is not None and acknowledged >= incarnation
+        newest = self._incarnations.get(instance_id, 0)
+        return acknowledged is not None and acknowledged >= max(
+            incarnation, newest
+        )
 
     def begin_accept(self) -> bool:
         """Starts the write of the acceptance if nobody blocks it."""
--- a/packages/daemon/src/lycheerock/_internal/bundles/handlers.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/handlers.py
@@ -42,7 +42,9 @@
         token_s = request.contact_token / MICROSECONDS_PER_S
         verdict = state.on_stage(request.number, request.epoch, token_s, now_s)
         problem = ""
-        if verdict is instance_state.StageVerdict.SUPERSEDED:
+        if verdict is instance_state.StageVerdict.HELD:
+            self._confirm(request, token_s, now_s)
+        elif verdict is instance_state.StageVerdict.SUPERSEDED:
             problem = f"epoch {state.epoch} has replaced {request.epoch}"
         elif verdict is instance_state.StageVerdict.WANTED:
             problem = await self._learner.acknowledge(
@@ -61,6 +63,16 @@
             epoch=state.epoch,
         )
 
+    def _confirm(
+        self, request: peer_pb2.StageRequest, token_s: float, now_s: float
+    ) -> None:
+        # The coordinator held the token before it could accept, so the number
+        # that it read when its epoch began was the accepted one.
+        gate = self._store.gate
+        is_same = request.in_force == self._store.number
+        if gate is not None and is_same and token_s <= now_s:
+            gate.confirm(token_s, now_s)
+
     async def activate(
         self, request: peer_pb2.ActivateRequest
     ) -> peer_pb2.ActivateReply:
@@ -86,14 +98,12 @@
         """Returns the numbers and whether requests are admitted."""
         problem = self._store.problem()
         state = self._store.state
-        age_s = state.contact_age_s(self._store.now_s())
         reply = peer_pb2.BundleStatusReply(
             instance_id=self._instance_id,
             incarnation=self._incarnation,
             in_force=self._store.number,
             admitting=not problem,
             problem=problem or self._problem,
-            contact_age_ms=int(age_s * 1000) + 1,
         )
         if state.binding is not None:
             reply.rollout_number = state.binding.number
--- /dev/null
+++ b/tests/test_platform_client.py
@@ -0,0 +1,117 @@
+"""Tests of the platform client against the fake platform."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+
+import aiohttp.test_utils
+import pytest
+from returns import result
+
+from lycheerock._internal.platform import backoff
+from lycheerock._internal.platform import client as client_lib
+from lycheerock_bench._internal import fake_platform
+from lycheerock_model import exceptions
+
+Use = Callable[[client_lib.PlatformClient], Awaitable[None]]
+
+
+def run_with_platform(faults: fake_platform.Faults, use: Use) -> None:
+    async def run() -> None:
+        platform = fake_platform.FakePlatform(seed=1)
+        platform._faults = faults
+        server = aiohttp.test_utils.TestServer(platform.build())
+        await server.start_server()
+        client = client_lib.PlatformClient(f"127.0.0.1:{server.port}", "i0")
+        try:
+            await use(client)
+        finally:
+            await client.close()
+            await server.close()
+
+    asyncio.run(run())
+
+
+class TestWrites:
+    """The outcome of a write is known or said to be unknown."""
+
+    @pytest.mark.parametrize("reply_lost_ratio", [0.0, 1.0])
+    def test_second_writer_gets_a_conflict(
+        self, reply_lost_ratio: float
+    ) -> None:
+        # Guards against a lost reply that makes the winner take its own write
+        # for another's, or the loser take the winner's for its own.
+        async def use(client: client_lib.PlatformClient) -> None:
+            first = await client.create("bundles", "2", {"by": "ana"})
+            second = await client.create("bundles", "2", {"by": "ana"})
+            assert first.unwrap().version == 1
+            assert isinstance(second.failure(), exceptions.ConflictError)
+            updated = await client.update("bundles", "2", {"by": "luc"}, 1)
+            assert updated.unwrap().version == 2
+
+        run_with_platform(
+            fake_platform.Faults(reply_lost_ratio=reply_lost_ratio), use
+        )
+
+    def test_outage_after_a_write_leaves_the_outcome_unknown(self) -> None:
+        # Guards against reporting a write as failed that has taken effect.
+        async def use(client: client_lib.PlatformClient) -> None:
+            written = await client.create("bundles", "2", {})
+            assert isinstance(written, result.Failure)
+            error = written.failure()
+            assert isinstance(error, exceptions.OutcomeUnknownError)
+            assert error.remedy
+
+        run_with_platform(fake_platform.Faults(down_after_write=True), use)
+
+    def test_refused_connection_is_a_failure(self) -> None:
+        # Guards against treating a write that was never sent as unknown, which
+        # would stop admission everywhere.
+        async def use() -> None:
+            client = client_lib.PlatformClient("127.0.0.1:9", "i0")
+            written = await client.create("bundles", "2", {})
+            error = written.failure()
+            assert isinstance(error, exceptions.PlatformError)
+            assert not isinstance(error, exceptions.OutcomeUnknownError)
+            await client.close()
+
+        asyncio.run(use())
+
+
+class TestCallCounts:
+    """Every call counts, by kind."""
+
+    def test_kinds_are_counted(self) -> None:
+        # Guards against calls that the platform budget does not see.
+        async def use(client: client_lib.PlatformClient) -> None:
+            await client.create("rollout", "current", {})
+            await client.get("rollout", "current")
+            await client.watch("rollout", "current", 0)
+            await client.list_instances()
+            assert client.call_counts == {
+                "create": 1,
+                "get": 1,
+                "watch": 1,
+                "list_instances": 1,
+            }
+
+        run_with_platform(fake_platform.Faults(), use)
+
+
+class TestBackoff:
+    """Instances that fail together stay within the platform's rates."""
+
+    def test_420_instances_stay_below_the_read_rate(self) -> None:
+        # Guards against a shorter first delay or less jitter, with which the
+        # fleet would exceed two thousand reads a second during an outage.
+        uniform = random.Random(20261204).uniform
+        calls_by_second = [0] * 120
+        for _ in range(420):
+            delays = backoff.Backoff(uniform)
+            time_s = 0.0
+            while time_s < len(calls_by_second):
+                calls_by_second[int(time_s)] += 1
+                time_s += delays.next_s()
+        assert max(calls_by_second) < 2_000
+        assert max(calls_by_second[30:]) < 200
