Find members by gossip and keep the directory live

Cause: the directory held the peers of the settings and never changed, so that a failed, restarted or new instance went unnoticed.

Change: a SWIM state machine without sockets or clock (membership/swim.py) and a task that sends and answers Gossip calls (membership/gossip.py). Entries have a total order (incarnation, left, refutation, state), so that instances that received the same entries agree. A new state "left" is announced by an instance at the end of its planned stop; the rollout can tell it from a detected death. A death heard of a member that is held as alive is taken as a suspicion first, because two parts of a fleet that meet again hold each other for dead. Forgotten members are remembered in a bounded list, so that stale gossip does not bring them back. Seeds come from the settings and the platform's list. Bundle numbers and reports on leaving targets travel with each message, and news is sent to three members at the next tick.

Hooks: Gossip(membership, channels, local_bundle, on_peer_bundle); Directory.subscribe and Directory.reached_majority.

--- a/packages/daemon/src/lycheerock/_internal/dispatch/target_states.py
+++ b/packages/daemon/src/lycheerock/_internal/dispatch/target_states.py
@@ -1,5 +1,6 @@
 """Which targets are leaving, as reported by themselves, peers or the list."""
 
+from collections.abc import Callable
 import dataclasses
 import enum
 
@@ -38,6 +39,11 @@
 
     def __init__(self) -> None:
         self._states: dict[str, TargetState] = {}
+        self._listeners: list[Callable[[TargetState], None]] = []
+
+    def subscribe(self, listener: Callable[[TargetState], None]) -> None:
+        """Calls `listener` with each report that is newer than the last."""
+        self._listeners.append(listener)
 
     def observe(self, report: TargetState) -> bool:
         """Takes a report.
@@ -52,8 +58,14 @@
         if known is not None and report.order <= known.order:
             return False
         self._states[report.target_id] = report
+        for listener in self._listeners:
+            listener(report)
         return True
 
+    def find(self, target_id: str) -> TargetState | None:
+        """Returns the newest report on a target, or None."""
+        return self._states.get(target_id)
+
     def is_leaving(self, target_id: str) -> bool:
         """Tells whether the target must get no new work."""
         state = self._states.get(target_id)
--- a/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import random
 import signal
 import time
 
@@ -18,10 +20,13 @@
 from lycheerock._internal.dispatch import ownership
 from lycheerock._internal.dispatch import target_states as target_states_lib
 from lycheerock._internal.entry import server as entry_server
-from lycheerock._internal.membership import directory as directory_lib
+from lycheerock._internal.lifecycle import peer_links as peer_links_lib
+from lycheerock._internal.membership import build as membership_lib
+from lycheerock._internal.membership import gossip as gossip_lib
+from lycheerock._internal.membership import listing
+from lycheerock._internal.membership import members as members_lib
 from lycheerock._internal.operator import server as operator_server
 from lycheerock._internal.peers import channels as channels_lib
-from lycheerock._internal.peers import links as links_lib
 from lycheerock._internal.peers import server as peer_server
 from lycheerock._internal.platform import client as client_lib
 from lycheerock_model import settings as settings_lib
@@ -36,15 +41,20 @@
         self._settings = settings
         self.incarnation = time.time_ns() // 1_000_000
         self._store = store_lib.BundleStore()
-        self._directory = directory_lib.from_settings(
-            settings, self.incarnation
-        )
         self._channels = channels_lib.Channels()
         self._target_states = target_states_lib.TargetStates()
-        self._links = {
-            peer.instance_id: links_lib.PeerLink(peer.peer_address)
-            for peer in self._directory.peers()
-        }
+        self._membership = membership_lib.build(
+            settings, self.incarnation, self._target_states, random.Random()
+        )
+        self._gossip = gossip_lib.Gossip(
+            self._membership,
+            self._channels,
+            self._local_bundle,
+            lambda _member, _numbers: None,
+        )
+        self._directory = self._membership.directory
+        self._links = peer_links_lib.PeerLinks(settings.instance_id)
+        self._directory.subscribe(self._links.follow)
         self._dispatcher = dispatcher_lib.Dispatcher(
             settings.instance_id, self._candidates, self._links
         )
@@ -59,16 +69,23 @@
         )
 
     def _candidates(self) -> list[ownership.Candidate]:
-        reachable = [
-            peer
-            for peer in self._directory.peers()
-            if self._links[peer.instance_id].is_ready
-        ]
         return [
             ownership.Candidate(member.instance_id, member.region, member.zone)
-            for member in (self._directory.own, *reachable)
+            for member in (self._directory.own, *self._directory.peers())
+            if self._may_own(member)
         ]
 
+    def _may_own(self, member: members_lib.Member) -> bool:
+        if member.state == members_lib.MemberState.LEAVING:
+            return False
+        if member.instance_id == self._settings.instance_id:
+            return True
+        link = self._links.get(member.instance_id)
+        return member.is_running and link is not None and link.is_ready
+
+    def _local_bundle(self) -> members_lib.BundleNumbers:
+        return members_lib.BundleNumbers(in_force=self._store.number)
+
     async def run(self) -> None:
         """Serves until SIGTERM or SIGINT."""
         stop = asyncio.Event()
@@ -85,13 +102,18 @@
         stack.push_async_callback(self._platform.close)
         stack.push_async_callback(self._channels.close)
         stack.push_async_callback(self._dispatcher.close)
-        tasks = [asyncio.create_task(watcher.run(self._platform, self._store))]
-        for link in self._links.values():
-            tasks.append(asyncio.create_task(link.run()))
-        for task in tasks:
-            stack.callback(task.cancel)
+        stack.callback(self._links.close)
         server = await self._start_peer_server()
         stack.push_async_callback(server.stop, None)
+        jobs = (
+            watcher.run(self._platform, self._store),
+            self._gossip.run(),
+            listing.run(
+                self._platform, self._membership.seeds, random.Random()
+            ),
+        )
+        for job in jobs:
+            stack.callback(asyncio.create_task(job).cancel)
         entry = entry_server.EntryServer(
             f"{self._settings.instance_id}.{self.incarnation:x}",
             self._store,
@@ -110,6 +132,7 @@
         servicer = peer_server.PeerServicer(
             self._dispatcher.submit_here,
             forwarding.serve(self._runner, self._store),
+            self._gossip.serve,
         )
         return await peer_server.start(self._settings.peer_address, servicer)
 
@@ -123,6 +146,11 @@
                 name: {"address": link.address, "ready": link.is_ready}
                 for name, link in self._links.items()
             },
+            "members": [
+                dataclasses.asdict(member)
+                for member in (self._directory.own, *self._directory.peers())
+            ],
+            "gossip": dataclasses.asdict(self._gossip.counters),
             "targets": self._dispatcher.state(),
             "keys_used": len(self._runner.table),
             "platform_calls": dict(self._platform.call_counts),
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/membership/gossip.py
@@ -0,0 +1,242 @@
+"""The task that owns the membership state machine and its messages."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import time
+
+import grpc
+import structlog
+
+from lycheerock._internal.membership import build
+from lycheerock._internal.membership import codec
+from lycheerock._internal.membership import counters as counters_lib
+from lycheerock._internal.membership import events
+from lycheerock._internal.membership import members as members_lib
+from lycheerock._internal.peers import channels as channels_lib
+from lycheerock_protocol import peer_pb2
+from lycheerock_protocol import peer_pb2_grpc
+
+_LOG = structlog.get_logger()
+
+TICK_S = 0.1
+# Several times the longest round trip between regions (24 ms), with room for a
+# busy instance.
+DIRECT_TIMEOUT_S = 0.25
+INDIRECT_TIMEOUT_S = 0.5
+FULL_STATE_TIMEOUT_S = 2.0
+
+LocalBundle = Callable[[], members_lib.BundleNumbers]
+OnPeerBundle = Callable[[members_lib.Member, members_lib.BundleNumbers], None]
+
+
+class Gossip:
+    """Sends and answers Gossip calls.
+
+    `local_bundle` returns the numbers that are sent along. `on_peer_bundle` is
+    called with the numbers of each message received. When the local numbers
+    rise, they are sent to a few members at the next tick; each of them does the
+    same when its own numbers rise.
+    """
+
+    def __init__(
+        self,
+        membership: build.Membership,
+        channels: channels_lib.Channels,
+        local_bundle: LocalBundle,
+        on_peer_bundle: OnPeerBundle,
+    ):
+        self.counters = counters_lib.GossipCounters()
+        self._swim = membership.swim
+        self._directory = membership.directory
+        self._channels = channels
+        self._target_news = membership.target_news
+        self._seeds = membership.seeds
+        self._local_bundle = local_bundle
+        self._on_peer_bundle = on_peer_bundle
+        self._last_numbers = members_lib.BundleNumbers()
+        self._calls: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Probes members and contacts seeds until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._run_ticks())
+                group.create_task(self._run_seeds())
+        finally:
+            for call in self._calls:
+                call.cancel()
+
+    async def _run_ticks(self) -> None:
+        while True:
+            numbers = self._local_bundle()
+            if numbers != self._last_numbers:
+                self._last_numbers = numbers
+                self._swim.announce()
+            self._handle(events.Tick())
+            await asyncio.sleep(TICK_S)
+
+    async def _run_seeds(self) -> None:
+        while True:
+            for address in self._seeds.due():
+                self._start(self._pull(address))
+            await asyncio.sleep(self._seeds.period_s())
+
+    def _handle(self, event: events.Event) -> None:
+        for action in self._swim.handle(event, time.monotonic()):
+            self._perform(action)
+
+    def _perform(self, action: events.Action) -> None:
+        match action:
+            case events.Probe(probe_id, member):
+                self._start(self._probe(probe_id, member))
+            case events.ProbeThrough(probe_id, helper, member):
+                self._start(self._probe_through(probe_id, helper, member))
+            case events.Pull(member):
+                self._start(self._pull(member.peer_address))
+            case events.Spread(receivers):
+                for receiver in receivers:
+                    self._start(self._send_news(receiver))
+            case events.Changed(member):
+                _LOG.info(
+                    "member_changed",
+                    member=member.instance_id,
+                    incarnation=member.incarnation,
+                    state=member.state,
+                )
+                self._directory.put(member)
+            case events.OwnChanged(member):
+                _LOG.info(
+                    "own_entry_changed",
+                    incarnation=member.incarnation,
+                    refutation=member.refutation,
+                    state=member.state,
+                )
+                self._directory.put(member)
+            case events.Forgotten(instance_id):
+                self._directory.forget(instance_id)
+
+    def _start(self, call: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(call)
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _probe(self, probe_id: int, member: members_lib.Member) -> None:
+        succeeded = await self._ping(member)
+        self._handle(events.DirectEnded(probe_id, succeeded))
+
+    async def _ping(self, member: members_lib.Member) -> bool:
+        reply = await self._call(
+            member.peer_address,
+            self._message(member.instance_id),
+            DIRECT_TIMEOUT_S,
+        )
+        # Another instance may have taken over the address.
+        return (
+            reply is not None and reply.sender.instance_id == member.instance_id
+        )
+
+    async def _probe_through(
+        self,
+        probe_id: int,
+        helper: members_lib.Member,
+        member: members_lib.Member,
+    ) -> None:
+        message = self._message(helper.instance_id)
+        message.probe_instance_id = member.instance_id
+        reply = await self._call(
+            helper.peer_address, message, INDIRECT_TIMEOUT_S
+        )
+        succeeded = reply is not None and reply.probe_succeeded
+        self._handle(events.IndirectEnded(probe_id, succeeded))
+
+    async def _pull(self, address: str) -> None:
+        message = self._message("")
+        message.wants_full_state = True
+        await self._call(address, message, FULL_STATE_TIMEOUT_S)
+
+    async def _send_news(self, receiver: members_lib.Member) -> None:
+        await self._call(
+            receiver.peer_address,
+            self._message(receiver.instance_id),
+            DIRECT_TIMEOUT_S,
+        )
+
+    async def _call(
+        self, address: str, message: peer_pb2.GossipMessage, timeout_s: float
+    ) -> peer_pb2.GossipMessage | None:
+        stub = peer_pb2_grpc.PeerStub(self._channels.get(address))
+        self.counters.add_sent(message)
+        try:
+            reply: peer_pb2.GossipMessage = await stub.Gossip(
+                message, timeout=timeout_s
+            )
+        except grpc.aio.AioRpcError:
+            self.counters.failed_calls += 1
+            return None
+        self._receive(reply)
+        return reply
+
+    async def serve(
+        self, message: peer_pb2.GossipMessage
+    ) -> peer_pb2.GossipMessage:
+        """Answers a Gossip call.
+
+        Args:
+          message: The request.
+
+        Returns:
+          The reply.
+        """
+        self._receive(message)
+        probe_succeeded = False
+        if message.probe_instance_id:
+            member = self._directory.find(message.probe_instance_id)
+            probe_succeeded = member is not None and await self._ping(member)
+        reply = self._message(message.sender.instance_id)
+        reply.probe_succeeded = probe_succeeded
+        if message.wants_full_state:
+            self._fill(reply)
+        self.counters.add_sent(reply)
+        return reply
+
+    def _receive(self, message: peer_pb2.GossipMessage) -> None:
+        self.counters.add_received(message)
+        sender = codec.read_member(message.sender)
+        if sender is None:
+            return
+        self._directory.note_reached(sender.instance_id)
+        members = tuple(codec.read_members(message.members))
+        self._handle(events.Heard(sender, members))
+        self._target_news.receive(codec.read_targets(message.target_states))
+        numbers = members_lib.BundleNumbers(
+            message.bundle_in_force,
+            message.rollout_number,
+            message.rollout_epoch,
+        )
+        if sender.instance_id != self._directory.own.instance_id:
+            self._on_peer_bundle(sender, numbers)
+
+    def _message(self, receiver_id: str) -> peer_pb2.GossipMessage:
+        numbers = self._local_bundle()
+        count = len(self._directory.peers())
+        return peer_pb2.GossipMessage(
+            sender=codec.member_message(self._swim.own),
+            members=map(
+                codec.member_message, self._swim.piggyback(receiver_id)
+            ),
+            target_states=map(
+                codec.target_message, self._target_news.take(count)
+            ),
+            bundle_in_force=numbers.in_force,
+            rollout_number=numbers.rollout_number,
+            rollout_epoch=numbers.rollout_epoch,
+        )
+
+    def _fill(self, reply: peer_pb2.GossipMessage) -> None:
+        del reply.members[:]
+        del reply.target_states[:]
+        reply.members.extend(map(codec.member_message, self._swim.full_state()))
+        reply.target_states.extend(
+            map(codec.target_message, self._target_news.all())
+        )
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/membership/listing.py
@@ -0,0 +1,48 @@
+"""Reads seeds from the platform's list of instances."""
+
+import asyncio
+import random
+
+import structlog
+
+from lycheerock._internal.membership import seeds as seeds_lib
+from lycheerock._internal.platform import client as client_lib
+from lycheerock_model import exceptions
+
+_LOG = structlog.get_logger()
+
+READ_PERIOD_S = 30.0
+BACKOFF_FIRST_S = 1.0
+BACKOFF_MAX_S = 60.0
+
+
+def backoff_s(failures: int, rng: random.Random) -> float:
+    """Returns the pause after a number of failed reads in a row.
+
+    Args:
+      failures: At least 1.
+      rng: Source of the jitter, which is full, so that the instances do not
+        call together when an outage ends.
+    """
+    doubled_s = BACKOFF_FIRST_S * 2.0 ** min(failures - 1, 16)
+    return rng.uniform(0.0, min(BACKOFF_MAX_S, doubled_s))
+
+
+async def run(
+    platform: client_lib.PlatformClient,
+    seeds: seeds_lib.Seeds,
+    rng: random.Random,
+) -> None:
+    """Reads the list again and again until cancelled."""
+    failures = 0
+    while True:
+        try:
+            listed = await platform.list_instances()
+        except exceptions.PlatformError as error:
+            failures += 1
+            _LOG.info("instance_list_failed", error=str(error))
+            await asyncio.sleep(backoff_s(failures, rng))
+            continue
+        failures = 0
+        seeds.set_listed({i.instance_id: i.peer_address for i in listed})
+        await asyncio.sleep(READ_PERIOD_S * rng.uniform(0.5, 1.5))
--- a/packages/daemon/src/lycheerock/_internal/peers/server.py
+++ b/packages/daemon/src/lycheerock/_internal/peers/server.py
@@ -17,6 +17,7 @@
 
 Submit = Callable[[work_lib.Work], asyncio.Future[work_lib.Result]]
 RunKeyed = Callable[[peer_pb2.RunRequest], Awaitable[peer_pb2.RunReply]]
+Gossip = Callable[[peer_pb2.GossipMessage], Awaitable[peer_pb2.GossipMessage]]
 
 
 class _Exchange:
@@ -79,9 +80,10 @@
 class PeerServicer(peer_pb2_grpc.PeerServicer):
     """Serves other instances."""
 
-    def __init__(self, submit: Submit, run_keyed: RunKeyed):
+    def __init__(self, submit: Submit, run_keyed: RunKeyed, gossip: Gossip):
         self._submit = submit
         self._run_keyed = run_keyed
+        self._gossip = gossip
 
     async def Exchange(
         self,
@@ -113,6 +115,14 @@
         """Runs a request whose key this instance issued."""
         return await self._run_keyed(request)
 
+    async def Gossip(
+        self,
+        request: peer_pb2.GossipMessage,
+        context: grpc.aio.ServicerContext[Any, Any],
+    ) -> peer_pb2.GossipMessage:
+        """Takes and answers a message of membership."""
+        return await self._gossip(request)
+
 
 async def _read(
     frames: AsyncIterator[peer_pb2.Frame], exchange: _Exchange
--- a/packages/daemon/src/lycheerock/_internal/platform/client.py
+++ b/packages/daemon/src/lycheerock/_internal/platform/client.py
@@ -20,6 +20,30 @@
     value: Any
 
 
+@dataclasses.dataclass(frozen=True)
+class ListedInstance:
+    """An entry of the platform's list of instances, which lags.
+
+    Attributes:
+      instance_id: Name of the instance.
+      state: live or leaving.
+      peer_address: Address of its gRPC interface.
+      region: Region of the instance.
+      zone: Availability zone of the instance.
+    """
+
+    instance_id: str
+    state: str
+    peer_address: str
+    region: str
+    zone: str
+
+
+@dataclasses.dataclass(frozen=True)
+class _InstanceList:
+    instances: tuple[ListedInstance, ...]
+
+
 class PlatformClient:
     """Calls the object API and counts every call by kind."""
 
@@ -61,6 +85,28 @@
                 "the call is repeated with backoff",
             ) from error
 
+    async def list_instances(self) -> tuple[ListedInstance, ...]:
+        """Reads the list of instances.
+
+        Returns:
+          The entries.
+
+        Raises:
+          PlatformError: The platform did not answer.
+        """
+        self.call_counts["list_instances"] += 1
+        url = f"{self._base_url}/instances"
+        try:
+            async with self._session.get(url) as response:
+                response.raise_for_status()
+                body = await response.read()
+            return msgspec.json.decode(body, type=_InstanceList).instances
+        except (TimeoutError, aiohttp.ClientError, msgspec.MsgspecError) as e:
+            raise exceptions.PlatformError(
+                f"reading the list of instances failed ({type(e).__name__})",
+                "the call is repeated with backoff",
+            ) from e
+
 
 def _decode(body: bytes) -> Object:
     return msgspec.json.decode(body, type=Object)
