--- a/packages/daemon/src/lycheerock/_internal/bundles/build.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/build.py
@@ -1,6 +1,7 @@
 """Connects the parts of the bundle life cycle on one instance."""
 
 import asyncio
+from collections.abc import Coroutine
 from typing import Any
 
 from lycheerock._internal.bundles import actions as actions_lib
@@ -42,9 +43,8 @@
         self._calls = peer_calls.PeerCalls(channels)
         catalog = catalog_lib.Catalog(platform)
         self._learner = learner_lib.Learner(store, catalog, self._calls)
-        own = network.own
         self.handlers = handlers_lib.BundleHandlers(
-            own.instance_id, own.incarnation, self._learner, self._forward
+            lambda: network.own, self._learner, self._forward
         )
         self.coordinator = coordinator_lib.Coordinator(
             coordination.Parts(
@@ -72,6 +72,8 @@
             self.coordinator.take_over,
         )
         self._background: set[asyncio.Task[Any]] = set()
+        # Gossip names a number again and again until it is fetched.
+        self._wanted: set[int] = set()
 
     async def run(self) -> None:
         """Runs all tasks until cancelled."""
@@ -97,27 +99,32 @@
         for address in self._network.sample(FORWARD_COUNT):
             self._start(self._calls.activate(address, message))
 
-    def _start(self, call: Any) -> None:
-        task = asyncio.ensure_future(call)
+    def _start(self, call: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        task = asyncio.create_task(call)
         self._background.add(task)
         task.add_done_callback(self._background.discard)
+        return task
 
-    def local_numbers(self) -> tuple[int, int, int]:
-        """Returns the numbers that travel with gossip.
-
-        Returns:
-          Number in force, then number and epoch of the acknowledged rollout, 0
-          if none is open.
-        """
+    def local_bundle(self) -> members_lib.BundleNumbers:
+        """Returns the numbers that travel with gossip."""
         binding = self._store.state.binding
         if binding is None or not binding.acknowledged:
-            return self._store.number, 0, 0
-        return self._store.number, binding.number, binding.epoch
+            return members_lib.BundleNumbers(self._store.number)
+        return members_lib.BundleNumbers(
+            self._store.number, binding.number, binding.epoch
+        )
 
-    def on_peer_number(self, member: members_lib.Member, in_force: int) -> None:
+    def on_peer_bundle(
+        self, member: members_lib.Member, numbers: members_lib.BundleNumbers
+    ) -> None:
         """Fetches a bundle that a peer has in force."""
-        if in_force > self._store.number:
-            self._start(self._learner.activate(in_force, [member.peer_address]))
+        number = numbers.in_force
+        if number > self._store.number and number not in self._wanted:
+            self._wanted.add(number)
+            task = self._start(
+                self._learner.activate(number, [member.peer_address])
+            )
+            task.add_done_callback(lambda _: self._wanted.discard(number))
 
     def dump(self) -> dict[str, Any]:
         """Returns the state as JSON values."""
--- a/packages/daemon/src/lycheerock/_internal/bundles/coordinator_state.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/coordinator_state.py
@@ -136,17 +136,18 @@
 
     Returns:
       Known incarnation by instance id; 0 if only the list names it. An instance
-      that left the list counts as stopped unless membership sees it alive.
+      that left the list counts as stopped unless membership sees it alive. One
+      that has announced the end of its planned stop is stopped.
     """
     required = dict.fromkeys(listed, 0)
     for member in members:
         name = member.instance_id
+        if member.state is members_lib.MemberState.LEFT:
+            required.pop(name, None)
+            continue
         if name in listed:
             required[name] = member.incarnation
             continue
-        # Incarnation 0 stands for an instance known only from settings.
-        if member.incarnation == 0:
-            continue
         if member.state is members_lib.MemberState.DEAD:
             continue
         is_alive = member.state is members_lib.MemberState.ALIVE
--- a/packages/daemon/src/lycheerock/_internal/bundles/handlers.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/handlers.py
@@ -9,6 +9,7 @@
 
 from lycheerock._internal.bundles import instance_state
 from lycheerock._internal.bundles import learner as learner_lib
+from lycheerock._internal.membership import members as members_lib
 from lycheerock_protocol import peer_pb2
 
 MICROSECONDS_PER_S = 1_000_000
@@ -21,13 +22,12 @@
 
     def __init__(
         self,
-        instance_id: str,
-        incarnation: int,
+        own: Callable[[], members_lib.Member],
         learner: learner_lib.Learner,
         forward: Forward,
     ):
-        self._instance_id = instance_id
-        self._incarnation = incarnation
+        # Membership may raise the incarnation after the start.
+        self._own = own
         self._learner = learner
         self._store = learner.store
         self._forward = forward
@@ -59,7 +59,7 @@
             in_force=self._store.number,
             problem=problem,
             contact_token=int(self._store.now_s() * MICROSECONDS_PER_S),
-            incarnation=self._incarnation,
+            incarnation=self._own().incarnation,
             epoch=state.epoch,
         )
 
@@ -99,8 +99,8 @@
         problem = self._store.problem()
         state = self._store.state
         reply = peer_pb2.BundleStatusReply(
-            instance_id=self._instance_id,
-            incarnation=self._incarnation,
+            instance_id=self._own().instance_id,
+            incarnation=self._own().incarnation,
             in_force=self._store.number,
             admitting=not problem,
             problem=problem or self._problem,
--- a/packages/daemon/src/lycheerock/_internal/bundles/watcher.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/watcher.py
@@ -87,6 +87,9 @@
 
     async def run(self) -> None:
         """Learns of changes until cancelled."""
+        # The guard reads once at the start; members are known a little later,
+        # and until then every instance would choose itself.
+        await asyncio.sleep(ROLE_CHECK_PERIOD_S)
         while True:
             try:
                 await self._run_once()
--- a/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import random
 import signal
 import time
 
@@ -20,10 +22,13 @@
 from lycheerock._internal.dispatch import ownership
 from lycheerock._internal.dispatch import target_states as target_states_lib
 from lycheerock._internal.entry import server as entry_server
-from lycheerock._internal.membership import directory as directory_lib
+from lycheerock._internal.lifecycle import peer_links as peer_links_lib
+from lycheerock._internal.membership import build as membership_lib
+from lycheerock._internal.membership import gossip as gossip_lib
+from lycheerock._internal.membership import listing
+from lycheerock._internal.membership import members as members_lib
 from lycheerock._internal.operator import server as operator_server
 from lycheerock._internal.peers import channels as channels_lib
-from lycheerock._internal.peers import links as links_lib
 from lycheerock._internal.peers import server as peer_server
 from lycheerock._internal.platform import client as client_lib
 from lycheerock_model import settings as settings_lib
@@ -40,15 +45,14 @@
         self._store = store_lib.BundleStore(
             gate_lib.AdmissionGate(time.monotonic())
         )
-        self._directory = directory_lib.from_settings(
-            settings, self.incarnation
-        )
         self._channels = channels_lib.Channels()
         self._target_states = target_states_lib.TargetStates()
-        self._links = {
-            peer.instance_id: links_lib.PeerLink(peer.peer_address)
-            for peer in self._directory.peers()
-        }
+        self._membership = membership_lib.build(
+            settings, self.incarnation, self._target_states, random.Random()
+        )
+        self._directory = self._membership.directory
+        self._links = peer_links_lib.PeerLinks(settings.instance_id)
+        self._directory.subscribe(self._links.follow)
         self._dispatcher = dispatcher_lib.Dispatcher(
             settings.instance_id, self._candidates, self._links
         )
@@ -66,6 +70,12 @@
             self._channels,
             self._platform,
         )
+        self._gossip = gossip_lib.Gossip(
+            self._membership,
+            self._channels,
+            self._bundles.local_bundle,
+            self._bundles.on_peer_bundle,
+        )
         table = keys.KeyTable(
             settings.instance_id, self.incarnation, time.monotonic()
         )
@@ -75,16 +85,20 @@
         )
 
     def _candidates(self) -> list[ownership.Candidate]:
-        reachable = [
-            peer
-            for peer in self._directory.peers()
-            if self._links[peer.instance_id].is_ready
-        ]
         return [
             ownership.Candidate(member.instance_id, member.region, member.zone)
-            for member in (self._directory.own, *reachable)
+            for member in (self._directory.own, *self._directory.peers())
+            if self._may_own(member)
         ]
 
+    def _may_own(self, member: members_lib.Member) -> bool:
+        if member.state == members_lib.MemberState.LEAVING:
+            return False
+        if member.instance_id == self._settings.instance_id:
+            return True
+        link = self._links.get(member.instance_id)
+        return member.is_running and link is not None and link.is_ready
+
     async def run(self) -> None:
         """Serves until SIGTERM or SIGINT."""
         stop = asyncio.Event()
@@ -101,13 +115,18 @@
         stack.push_async_callback(self._platform.close)
         stack.push_async_callback(self._channels.close)
         stack.push_async_callback(self._dispatcher.close)
-        tasks = [asyncio.create_task(self._bundles.run())]
-        for link in self._links.values():
-            tasks.append(asyncio.create_task(link.run()))
-        for task in tasks:
-            stack.callback(task.cancel)
+        stack.callback(self._links.close)
         server = await self._start_peer_server()
         stack.push_async_callback(server.stop, None)
+        jobs = (
+            self._bundles.run(),
+            self._gossip.run(),
+            listing.run(
+                self._platform, self._membership.seeds, random.Random()
+            ),
+        )
+        for job in jobs:
+            stack.callback(asyncio.create_task(job).cancel)
         entry = entry_server.EntryServer(
             f"{self._settings.instance_id}.{self.incarnation:x}",
             self._store,
@@ -127,6 +146,7 @@
         servicer = peer_server.PeerServicer(
             self._dispatcher.submit_here,
             forwarding.serve(self._runner, self._store),
+            self._gossip.serve,
         )
         servicer.bundle_handlers = self._bundles.handlers
         return await peer_server.start(self._settings.peer_address, servicer)
@@ -142,6 +162,11 @@
                 name: {"address": link.address, "ready": link.is_ready}
                 for name, link in self._links.items()
             },
+            "members": [
+                dataclasses.asdict(member)
+                for member in (self._directory.own, *self._directory.peers())
+            ],
+            "gossip": dataclasses.asdict(self._gossip.counters),
             "targets": self._dispatcher.state(),
             "keys_used": len(self._runner.table),
             "platform_calls": dict(self._platform.call_counts),
--- a/tests/test_required_instances.py
+++ b/tests/test_required_instances.py
@@ -40,6 +40,12 @@
             suspect, frozenset(), frozenset()
         )
 
+    def test_instance_that_left_is_not_required(self) -> None:
+        # Guards against a planned stop that blocks until the list follows.
+        assert not coordinator_state.choose_required(
+            [member("i1", 5, State.LEFT)], frozenset({"i1"}), frozenset()
+        )
+
     def test_alive_instance_off_the_list_is_required(self) -> None:
         # Guards against trusting a list that lags.
         required = coordinator_state.choose_required(
