--- a/features/bundles.feature
+++ b/features/bundles.feature
@@ -126,6 +126,19 @@
     Then bundle 2 comes into force on "i1, i2"
     And the recorded history is correct
 
+  Scenario: The coordinator is frozen and another one takes over
+    When bundle 2 is proposed and signed through "i0"
+    And process "i2" is frozen
+    And "i0" is asked to roll out bundle 2
+    And "i1" has acknowledged bundle 2
+    And process "i0" is frozen
+    And process "i2" resumes
+    And "i1" or "i2" coordinates with epoch 2
+    And process "i0" resumes
+    Then bundle 2 comes into force on "i0, i1, i2"
+    And "i0" coordinates no more
+    And the recorded history is correct
+
   Scenario: The coordinator is lost while the platform is down
     When bundle 2 is proposed and signed through "i0"
     And process "i2" is frozen
--- a/features/steps/bundle_steps.py
+++ b/features/steps/bundle_steps.py
@@ -145,6 +145,37 @@
     )
 
 
+@when('"{one}" or "{two}" coordinates with epoch {epoch:d}')
+def wait_takeover(context: Any, one: str, two: str, epoch: int) -> None:
+    """Waits until one of two instances has taken over."""
+    limit_s = time.monotonic() + bundle_runs.WAIT_LIMIT_S
+    states: dict[str, Any] = {}
+    while time.monotonic() < limit_s:
+        for name in (one, two):
+            state = run(
+                context, bundle_runs.read_state(context.deployment, name)
+            )
+            states[name] = state["coordinating"]
+            if states[name].get("epoch") == epoch:
+                return
+    raise AssertionError(states)
+
+
+@then('"{instance}" coordinates no more')
+def wait_coordination_end(context: Any, instance: str) -> None:
+    """Waits until the rollout that an instance coordinated has ended."""
+    limit_s = time.monotonic() + bundle_runs.WAIT_LIMIT_S
+    phase = ""
+    while time.monotonic() < limit_s:
+        state = run(
+            context, bundle_runs.read_state(context.deployment, instance)
+        )
+        phase = state["coordinating"]["phase"]
+        if phase in ("accepted", "superseded"):
+            return
+    raise AssertionError(f"{instance} is still {phase}")
+
+
 @then('"{instance}" stops admitting requests')
 def wait_stopped(context: Any, instance: str) -> None:
     """Waits until an instance refuses requests."""
--- a/packages/bench/src/lycheerock_bench/__main__.py
+++ b/packages/bench/src/lycheerock_bench/__main__.py
@@ -12,6 +12,7 @@
 from lycheerock_bench._internal import deployments
 from lycheerock_bench._internal import fake_platform
 from lycheerock_bench._internal import fake_target
+from lycheerock_bench._internal import rollout_measurement
 from lycheerock_bench._internal import serving
 from lycheerock_model import bundle_check
 
@@ -109,11 +110,33 @@
         )
 
 
+def measure_rollouts(
+    *,
+    directory: pathlib.Path,
+    instances: int = 5,
+    rollouts: int = 50,
+    rest_s: float = 40.0,
+) -> None:
+    """Prints the times from acceptance to in force and the platform calls.
+
+    Args:
+      directory: Where files and logs go.
+      instances: Number of instances.
+      rollouts: Rollouts per condition.
+      rest_s: Time over which the calls at rest are counted.
+    """
+    with aiomisc.entrypoint(log_config=False) as loop:
+        figures = loop.run_until_complete(
+            rollout_measurement.measure(directory, instances, rollouts, rest_s)
+        )
+    print(json.dumps(figures, indent=2))
+
+
 def main() -> None:
     """Entry point of the `lycheerock-bench` binary."""
     sys.exit(
         defopt.run(
-            [platform, targets, write_local, run_demo],
+            [platform, targets, write_local, run_demo, measure_rollouts],
             cli_options="all",
             short={},
         )
--- a/packages/daemon/src/lycheerock/_internal/bundles/build.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/build.py
@@ -4,6 +4,8 @@
 from collections.abc import Coroutine
 from typing import Any
 
+import structlog
+
 from lycheerock._internal.bundles import actions as actions_lib
 from lycheerock._internal.bundles import catalog as catalog_lib
 from lycheerock._internal.bundles import confirmation
@@ -18,16 +20,36 @@
 from lycheerock._internal.bundles import reports
 from lycheerock._internal.bundles import store as store_lib
 from lycheerock._internal.bundles import watcher as watcher_lib
+from lycheerock._internal.membership import directory as directory_lib
 from lycheerock._internal.membership import members as members_lib
 from lycheerock._internal.peers import channels as channels_lib
 from lycheerock._internal.platform import client as client_lib
+from lycheerock_model import settings as settings_lib
 from lycheerock_protocol import peer_pb2
 
+_LOG = structlog.get_logger()
+
 # Each instance tells two others when it learns of an acceptance, so that the
 # news spreads even if the coordinator is lost while it calls.
 FORWARD_COUNT = 2
 
 
+def build(
+    settings: settings_lib.Settings,
+    store: store_lib.BundleStore,
+    directory: directory_lib.Directory,
+    channels: channels_lib.Channels,
+    platform: client_lib.PlatformClient,
+) -> "BundleParts":
+    """Builds the bundle life cycle of one process."""
+    configured = (
+        network_lib.PeerAddress(peer.instance_id, peer.peer_address)
+        for peer in settings.peers
+    )
+    network = network_lib.Network(directory, configured)
+    return BundleParts(store, network, channels, platform)
+
+
 class BundleParts:
     """The bundle life cycle of one process."""
 
@@ -56,12 +78,7 @@
                 self.handlers,
             )
         )
-        reporter = reports.Reporter(
-            platform, network, self._calls, self.handlers
-        )
-        self.actions = actions_lib.Actions(
-            platform, self.coordinator, reporter.collect, self._local_rollout
-        )
+        self.actions = self._build_actions(platform)
         reader = watcher_lib.RolloutReader(platform, self._learner, network)
         self._watcher = watcher_lib.Watcher(reader, network)
         self._guard = guard_lib.Guard(
@@ -75,12 +92,26 @@
         # Gossip names a number again and again until it is fetched.
         self._wanted: set[int] = set()
 
+    def _build_actions(
+        self, platform: client_lib.PlatformClient
+    ) -> actions_lib.Actions:
+        reporter = reports.Reporter(
+            platform, self._network, self._calls, self.handlers
+        )
+        return actions_lib.Actions(
+            platform, self.coordinator, reporter.collect, self._local_rollout
+        )
+
     async def run(self) -> None:
         """Runs all tasks until cancelled."""
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._watcher.run())
                 group.create_task(self._guard.run())
+        except Exception:
+            # Without ticks the gate closes, so no old bundle is served.
+            _LOG.exception("bundle_tasks_failed")
+            raise
         finally:
             await self.coordinator.close()
 
--- a/packages/daemon/src/lycheerock/_internal/bundles/catalog.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/catalog.py
@@ -50,8 +50,7 @@
         stored = found.unwrap()
         if stored is None:
             return result.Success(VersionedRollout(0, records.Rollout()))
-        rollout = records.parse_rollout(stored.value)
-        return result.Success(VersionedRollout(stored.version, rollout))
+        return parse_rollout(stored)
 
     async def update_rollout(
         self, rollout: records.Rollout, if_version: int, nonce: str
@@ -174,6 +173,15 @@
         )
 
 
+def parse_rollout(stored: client_lib.Object) -> Outcome[VersionedRollout]:
+    """Parses the object `rollout/current`; a DocumentError if malformed."""
+    try:
+        rollout = records.parse_rollout(stored.value)
+    except msgspec.ValidationError as error:
+        return result.Failure(_malformed("rollout/current", error))
+    return result.Success(VersionedRollout(stored.version, rollout))
+
+
 def _is_conflict(written: client_lib.Written) -> bool:
     return isinstance(written, result.Failure) and isinstance(
         written.failure(), exceptions.ConflictError
--- a/packages/daemon/src/lycheerock/_internal/bundles/coordination.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/coordination.py
@@ -65,6 +65,10 @@
         try:
             while self.state.phase is coordinator_state.Phase.STAGING:
                 await self._try_to_accept()
+        except Exception:
+            # The contact ends, so another instance takes over.
+            _LOG.exception("rollout_failed", number=self.state.number)
+            raise
         finally:
             for task in self._contacts.values():
                 task.cancel()
@@ -121,12 +125,16 @@
     async def _wait_for_acknowledgements(self) -> None:
         try:
             async with asyncio.timeout(LIST_PERIOD_S):
-                while self.state.blockers():
+                while self._is_waiting():
                     self._changed.clear()
                     await self._changed.wait()
         except TimeoutError:
             pass
 
+    def _is_waiting(self) -> bool:
+        is_staging = self.state.phase is coordinator_state.Phase.STAGING
+        return is_staging and bool(self.state.blockers())
+
     async def _keep_contact(self, instance_id: str) -> None:
         while True:
             address = self._address(instance_id)
@@ -156,6 +164,7 @@
             self.state.on_unreachable(instance_id, replied.failure())
             return
         reply = replied.unwrap()
+        self.state.on_epoch(reply.epoch)
         self.state.on_stage_result(
             coordinator_state.StageResult(
                 instance_id=instance_id,
--- a/packages/daemon/src/lycheerock/_internal/bundles/coordinator_state.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/coordinator_state.py
@@ -80,6 +80,14 @@
         if self.phase is Phase.STAGING:
             self._tokens[instance_id] = reply.token
 
+    def on_epoch(self, epoch: int) -> None:
+        """Ends the rollout if another coordinator has a higher epoch.
+
+        A write of the acceptance that is on its way decides for itself.
+        """
+        if epoch > self.epoch and self.phase is Phase.STAGING:
+            self.phase = Phase.SUPERSEDED
+
     def on_unreachable(self, instance_id: str, problem: str) -> None:
         """Notes why an instance did not reply."""
         self._problems[instance_id] = problem
--- a/packages/daemon/src/lycheerock/_internal/bundles/records.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/records.py
@@ -4,6 +4,7 @@
 `rollout/current` is changed by conditional update only.
 """
 
+from collections.abc import Iterator
 import hashlib
 from typing import Any
 
@@ -116,36 +117,35 @@
       DocumentError: The bundle or its sign-off has faults.
     """
     bundle = bundle_check.load(msgspec.json.encode(signed.bundle))
+    faults = tuple(_signoff_faults(signed, bundle, number))
+    if faults:
+        raise exceptions.DocumentError("bundle", faults)
+    return bundle
+
+
+def _signoff_faults(
+    signed: SignedBundle, bundle: bundle_lib.Bundle, number: int
+) -> Iterator[exceptions.Fault]:
     signoff = signed.signoff
-    faults = []
     if not bundle.number == signoff.number == number:
-        faults.append(
-            exceptions.Fault(
-                "number",
-                f"bundle {bundle.number} with a sign-off of {signoff.number} "
-                f"is stored under {number}",
-                "propose the bundle again under a new number",
-            )
+        yield exceptions.Fault(
+            "number",
+            f"bundle {bundle.number} with a sign-off of {signoff.number} "
+            f"is stored under {number}",
+            "propose the bundle again under a new number",
         )
     if signoff.signer == bundle.author:
-        faults.append(
-            exceptions.Fault(
-                "author",
-                f"{bundle.author} is both author and signer",
-                "propose it again and let another operator sign",
-            )
+        yield exceptions.Fault(
+            "author",
+            f"{bundle.author} is both author and signer",
+            "propose it again and let another operator sign",
         )
     if signoff.sha256 != digest(signed.bundle):
-        faults.append(
-            exceptions.Fault(
-                "signoff.sha256",
-                "the signed content is not this content",
-                "propose the bundle again under a new number",
-            )
+        yield exceptions.Fault(
+            "signoff.sha256",
+            "the signed content is not this content",
+            "propose the bundle again under a new number",
         )
-    if faults:
-        raise exceptions.DocumentError("bundle", tuple(faults))
-    return bundle
 
 
 def parse_rollout(value: Any) -> Rollout:
--- a/packages/daemon/src/lycheerock/_internal/bundles/watcher.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/watcher.py
@@ -58,10 +58,12 @@
             return False
         stored = found.unwrap()
         if stored is None:
-            read = catalog_lib.VersionedRollout(0, records.Rollout())
-        else:
-            rollout = records.parse_rollout(stored.value)
-            read = catalog_lib.VersionedRollout(stored.version, rollout)
+            stored = client_lib.Object(0, {})
+        parsed = catalog_lib.parse_rollout(stored)
+        if isinstance(parsed, result.Failure):
+            _LOG.error("rollout_unreadable", problem=str(parsed.failure()))
+            return False
+        read = parsed.unwrap()
         await self._learner.apply_read(
             read.version,
             read.rollout,
--- a/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
@@ -16,7 +16,6 @@
 from lycheerock._internal.booking import runner as runner_lib
 from lycheerock._internal.bundles import build as bundles_build
 from lycheerock._internal.bundles import gate as gate_lib
-from lycheerock._internal.bundles import network as network_lib
 from lycheerock._internal.bundles import store as store_lib
 from lycheerock._internal.dispatch import dispatcher as dispatcher_lib
 from lycheerock._internal.dispatch import ownership
@@ -60,13 +59,10 @@
         self._platform = client_lib.PlatformClient(
             settings.platform_address, settings.instance_id
         )
-        configured = (
-            network_lib.PeerAddress(peer.instance_id, peer.peer_address)
-            for peer in settings.peers
-        )
-        self._bundles = bundles_build.BundleParts(
+        self._bundles = bundles_build.build(
+            settings,
             self._store,
-            network_lib.Network(self._directory, configured),
+            self._directory,
             self._channels,
             self._platform,
         )
--- a/packages/daemon/src/lycheerock/_internal/platform/client.py
+++ b/packages/daemon/src/lycheerock/_internal/platform/client.py
@@ -133,11 +133,15 @@
         """Returns the platform's list of instances, or a PlatformError."""
         self.call_counts["list_instances"] += 1
         found = await self._get_json("/instances")
-        return found.map(
-            lambda body: msgspec.convert(
-                body["instances"], tuple[ListedInstance, ...]
+        if isinstance(found, result.Failure):
+            return found
+        try:
+            entries = msgspec.convert(
+                found.unwrap()["instances"], tuple[ListedInstance, ...]
             )
-        )
+        except (msgspec.ValidationError, KeyError, TypeError) as error:
+            return result.Failure(_unavailable("reading /instances", error))
+        return result.Success(entries)
 
     async def _get_json(
         self, path: str
@@ -166,9 +170,8 @@
     ) -> Written:
         """Replaces an object if its version is still `if_version`.
 
-        A write without a reply may take effect later, so a read that shows the
-        old version proves nothing. The same write is repeated with the same
-        nonce instead: at most one of the copies can take effect.
+        A write without a reply may take effect later, so the same write is
+        repeated with the same nonce: at most one of the copies takes effect.
 
         Args:
           kind: Kind of the object.
--- a/tests/test_required_instances.py
+++ b/tests/test_required_instances.py
@@ -74,6 +74,19 @@
         assert state.blockers() == {"i1": "new"}
         assert not state.begin_accept()
 
+    def test_higher_epoch_ends_the_rollout(self) -> None:
+        # Guards against a replaced coordinator that asks for ever, and against
+        # one that forgets that its acceptance may be on its way.
+        state = coordinator_state.CoordinatorState(2, 7)
+        state.set_required({})
+        state.on_epoch(7)
+        assert state.phase is coordinator_state.Phase.STAGING
+        state.on_epoch(8)
+        assert state.phase is coordinator_state.Phase.SUPERSEDED
+        state.phase = coordinator_state.Phase.ACCEPTING
+        state.on_epoch(9)
+        assert state.phase is coordinator_state.Phase.ACCEPTING
+
 
 class FakeCalls:
     """Peers that answer with fixed numbers."""
