--- a/packages/bench/src/lycheerock_bench/__main__.py
+++ b/packages/bench/src/lycheerock_bench/__main__.py
@@ -18,6 +18,7 @@
 from lycheerock_bench._internal import measure_costs as costs
 from lycheerock_bench._internal import measure_ownership as ownership
 from lycheerock_bench._internal import measure_serving as measure
+from lycheerock_bench._internal import rollout_measurement
 from lycheerock_bench._internal import serving
 from lycheerock_bench._internal import serving_scenarios
 from lycheerock_model import bundle_check
@@ -212,6 +213,28 @@
         )
 
 
+def measure_rollouts(
+    *,
+    directory: pathlib.Path,
+    instances: int = 5,
+    rollouts: int = 50,
+    rest_s: float = 40.0,
+) -> None:
+    """Prints the times from acceptance to in force and the platform calls.
+
+    Args:
+      directory: Where files and logs go.
+      instances: Number of instances.
+      rollouts: Rollouts per condition.
+      rest_s: Time over which the calls at rest are counted.
+    """
+    with aiomisc.entrypoint(log_config=False) as loop:
+        figures = loop.run_until_complete(
+            rollout_measurement.measure(directory, instances, rollouts, rest_s)
+        )
+    print(json.dumps(figures, indent=2))
+
+
 def main() -> None:
     """Entry point of the `lycheerock-bench` binary."""
     sys.exit(
@@ -226,6 +249,7 @@
                 measure_costs,
                 measure_ownership,
                 booking_trial,
+                measure_rollouts,
             ],
             cli_options="all",
             short={},
--- a/packages/daemon/src/lycheerock/_internal/bundles/coordinator_state.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/coordinator_state.py
@@ -49,6 +49,7 @@
         self.phase = Phase.STAGING
         self._required: dict[str, int] = {}
         self._acknowledged: dict[str, int] = {}
+        self._incarnations: dict[str, int] = {}
         self._tokens: dict[str, int] = {}
         self._problems: dict[str, str] = {}
 
@@ -65,9 +66,12 @@
         if (reply.number, reply.epoch) != (self.number, self.epoch):
             return
         instance_id = reply.instance_id
+        newest = self._incarnations.get(instance_id, 0)
+        if reply.incarnation < newest:
+            return
+        self._incarnations[instance_id] = reply.incarnation
         if reply.acknowledged:
-            newest = self._acknowledged.get(instance_id, 0)
-            self._acknowledged[instance_id] = max(newest, reply.incarnation)
+            self._acknowledged[instance_id] = reply.incarnation
             self._problems.pop(instance_id, None)
         else:
             self._problems[instance_id] = reply.problem
@@ -76,6 +80,14 @@
         if self.phase is Phase.STAGING:
             self._tokens[instance_id] = reply.token
 
+    def on_epoch(self, epoch: int) -> None:
+        """Ends the rollout if another coordinator has a higher epoch.
+
+        A write of the acceptance that is on its way decides for itself.
+        """
+        if epoch > self.epoch and self.phase is Phase.STAGING:
+            self.phase = Phase.SUPERSEDED
+
     def on_unreachable(self, instance_id: str, problem: str) -> None:
         """Notes why an instance did not reply."""
         self._problems[instance_id] = problem
@@ -94,7 +106,10 @@
 
     def _has_acknowledged(self, instance_id: str, incarnation: int) -> bool:
         acknowledged = self._acknowledged.get(instance_id)
-        return acknowledged is not None and acknowledged >= incarnation
+        newest = self._incarnations.get(instance_id, 0)
+        return acknowledged is not None and acknowledged >= max(
+            incarnation, newest
+        )
 
     def begin_accept(self) -> bool:
         """Starts the write of the acceptance if nobody blocks it."""
@@ -129,17 +144,18 @@
 
     Returns:
       Known incarnation by instance id; 0 if only the list names it. An instance
-      that left the list counts as stopped unless membership sees it alive.
+      that left the list counts as stopped unless membership sees it alive. One
+      that has announced the end of its planned stop is stopped.
     """
     required = dict.fromkeys(listed, 0)
     for member in members:
         name = member.instance_id
+        if member.state is members_lib.MemberState.LEFT:
+            required.pop(name, None)
+            continue
         if name in listed:
             required[name] = member.incarnation
             continue
-        # Incarnation 0 stands for an instance known only from settings.
-        if member.incarnation == 0:
-            continue
         if member.state is members_lib.MemberState.DEAD:
             continue
         is_alive = member.state is members_lib.MemberState.ALIVE
--- a/packages/daemon/src/lycheerock/_internal/dispatch/target_states.py
+++ b/packages/daemon/src/lycheerock/_internal/dispatch/target_states.py
@@ -1,5 +1,6 @@
 """Which targets are leaving, as reported by themselves, peers or the list."""
 
+from collections.abc import Callable
 import dataclasses
 import enum
 
@@ -38,6 +39,11 @@
 
     def __init__(self) -> None:
         self._states: dict[str, TargetState] = {}
+        self._listeners: list[Callable[[TargetState], None]] = []
+
+    def subscribe(self, listener: Callable[[TargetState], None]) -> None:
+        """Calls `listener` with each report that is newer than the last."""
+        self._listeners.append(listener)
 
     def observe(self, report: TargetState) -> bool:
         """Takes a report.
@@ -52,6 +58,8 @@
         if known is not None and report.order <= known.order:
             return False
         self._states[report.target_id] = report
+        for listener in self._listeners:
+            listener(report)
         return True
 
     def is_leaving(self, target_id: str) -> bool:
--- a/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import random
 import signal
 import time
 
@@ -14,15 +16,16 @@
 from lycheerock._internal.booking import runner as runner_lib
 from lycheerock._internal.bundles import build as bundles_build
 from lycheerock._internal.bundles import gate as gate_lib
-from lycheerock._internal.bundles import network as network_lib
 from lycheerock._internal.bundles import store as store_lib
 from lycheerock._internal.dispatch import dispatcher as dispatcher_lib
-from lycheerock._internal.dispatch import ownership
 from lycheerock._internal.dispatch import target_states as target_states_lib
 from lycheerock._internal.entry import server as entry_server
+from lycheerock._internal.lifecycle import following
 from lycheerock._internal.lifecycle import operator_wiring
 from lycheerock._internal.lifecycle import request_ends
-from lycheerock._internal.membership import directory as directory_lib
+from lycheerock._internal.membership import build as membership_lib
+from lycheerock._internal.membership import gossip as gossip_lib
+from lycheerock._internal.membership import listing
 from lycheerock._internal.operator import metrics as metrics_lib
 from lycheerock._internal.operator import views
 from lycheerock._internal.peers import channels as channels_lib
@@ -47,23 +50,24 @@
         self._store = store_lib.BundleStore(
             gate_lib.AdmissionGate(time.monotonic())
         )
-        self._directory = directory_lib.from_settings(
-            settings, self.incarnation
-        )
         self._channels = channels_lib.Channels()
-        self._candidates = tuple(
-            ownership.Candidate(member.instance_id, member.region, member.zone)
-            for member in (self._directory.own, *self._directory.peers())
-        )
         self._target_states = target_states_lib.TargetStates()
         self._bundle_view = views.BundleView()
         self._store.subscribe(self._bundle_view.apply)
         self._metrics = metrics_lib.RequestMetrics()
         self._stop = asyncio.Event()
+        self._membership = membership_lib.build(
+            settings, self.incarnation, self._target_states, random.Random()
+        )
+        self._directory = self._membership.directory
         self._links = link_table.LinkTable()
+        self._directory.subscribe(
+            following.link_follower(self._links, settings.instance_id)
+        )
+        candidates = following.Candidates(self._directory)
         self._dispatcher = dispatcher_lib.Dispatcher(
             settings.instance_id,
-            lambda: self._candidates,
+            candidates.current,
             self._links,
             self._target_states,
         )
@@ -78,16 +82,19 @@
         self._platform = client_lib.PlatformClient(
             settings.platform_address, settings.instance_id
         )
-        configured = (
-            network_lib.PeerAddress(peer.instance_id, peer.peer_address)
-            for peer in settings.peers
-        )
-        self._bundles = bundles_build.BundleParts(
+        self._bundles = bundles_build.build(
+            settings,
             self._store,
-            network_lib.Network(self._directory, configured),
+            self._directory,
             self._channels,
             self._platform,
         )
+        self._gossip = gossip_lib.Gossip(
+            self._membership,
+            self._channels,
+            self._bundles.local_bundle,
+            self._bundles.on_peer_bundle,
+        )
         table = keys.KeyTable(
             settings.instance_id, self.incarnation, time.monotonic()
         )
@@ -111,14 +118,18 @@
         stack.push_async_callback(self._platform.close)
         stack.push_async_callback(self._channels.close)
         stack.push_async_callback(self._dispatcher.close)
-        tasks = [asyncio.create_task(self._bundles.run())]
         stack.push_async_callback(self._links.close)
-        for peer in self._directory.peers():
-            self._links.add(peer.instance_id, peer.peer_address)
-        for task in tasks:
-            stack.callback(task.cancel)
         server = await self._start_peer_server()
         stack.push_async_callback(server.stop, None)
+        jobs = (
+            self._bundles.run(),
+            self._gossip.run(),
+            listing.run(
+                self._platform, self._membership.seeds, random.Random()
+            ),
+        )
+        for job in jobs:
+            stack.callback(asyncio.create_task(job).cancel)
         entry = entry_server.EntryServer(
             f"{self._settings.instance_id}.{self.incarnation:x}",
             self._store,
@@ -152,6 +163,7 @@
         servicer = peer_server.PeerServicer(
             self._dispatcher.submit_here,
             forwarding.serve(self._runner, self._store),
+            self._gossip.serve,
         )
         servicer.bundle_handlers = self._bundles.handlers
         return await peer_server.start(self._settings.peer_address, servicer)
@@ -167,6 +179,11 @@
                 name: {"address": link.address, "ready": link.is_ready}
                 for name, link in self._links.items()
             },
+            "members": [
+                dataclasses.asdict(member)
+                for member in (self._directory.own, *self._directory.peers())
+            ],
+            "gossip": dataclasses.asdict(self._gossip.counters),
             "targets": self._dispatcher.state(),
             "keys_used": len(self._runner.table),
             "platform_calls": dict(self._platform.call_counts),
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -45,7 +45,7 @@
         return future
 
     async def start(self) -> None:
-        servicer = server_lib.PeerServicer(self.submit, run_keyed)
+        servicer = server_lib.PeerServicer(self.submit, run_keyed, run_keyed)
         self.server = await server_lib.start(self.address, servicer)
 
 
--- a/tools/dispatch_cost.py
+++ b/tools/dispatch_cost.py
@@ -81,7 +81,11 @@
     async def run_keyed(request: object) -> None:
         raise NotImplementedError
 
-    servicer = peer_server.PeerServicer(_answer, run_keyed)  # type: ignore[arg-type]
+    servicer = peer_server.PeerServicer(
+        _answer,
+        run_keyed,  # type: ignore[arg-type]
+        run_keyed,  # type: ignore[arg-type]
+    )
     server = await peer_server.start(_PEER_ADDRESS, servicer)
     link = links_lib.PeerLink(_PEER_ADDRESS)
     task = asyncio.create_task(link.run())
