--- a/packages/bench/src/lycheerock_bench/_internal/control_cost.py
+++ b/packages/bench/src/lycheerock_bench/_internal/control_cost.py
@@ -14,7 +14,8 @@
 from lycheerock_bench import harness
 
 SEED_COUNT = 3
-SETTLE_S = 10.0
+# Updates of the start are repeated for about half a minute in a large fleet.
+SETTLE_S = 45.0
 WAIT_MAX_S = 120.0
 POLL_S = 0.1
 
