--- a/packages/daemon/src/lycheerock/_internal/entry/server.py
+++ b/packages/daemon/src/lycheerock/_internal/entry/server.py
@@ -26,6 +26,9 @@
 
 _LOG = structlog.get_logger()
 
+# Id of a request once it was assigned, for middlewares around the handlers.
+REQUEST_ID = aiohttp.web.RequestKey("request_id", str)
+
 BODY_SIZE_MAX_BYTES = bodies.BODY_SIZE_MAX_BYTES
 
 # A header that is sent twice may be read differently by a proxy on the way.
@@ -125,6 +128,7 @@
     def _handler(self, serve: _Serve) -> _Handler:
         async def handle(request: aiohttp.web.Request) -> aiohttp.web.Response:
             context = _Context(request, self._next_id(), time.monotonic())
+            request[REQUEST_ID] = context.request_id
             structlog.contextvars.clear_contextvars()
             structlog.contextvars.bind_contextvars(
                 request_id=context.request_id
--- a/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
@@ -20,12 +20,18 @@
 from lycheerock._internal.dispatch import dispatcher as dispatcher_lib
 from lycheerock._internal.dispatch import target_states as target_states_lib
 from lycheerock._internal.entry import server as entry_server
+from lycheerock._internal.lifecycle import callers
 from lycheerock._internal.lifecycle import following
+from lycheerock._internal.lifecycle import in_flight as in_flight_lib
+from lycheerock._internal.lifecycle import listener as listener_lib
 from lycheerock._internal.lifecycle import operator_wiring
+from lycheerock._internal.lifecycle import phase as phase_lib
 from lycheerock._internal.lifecycle import request_ends
+from lycheerock._internal.lifecycle import stopping
 from lycheerock._internal.membership import build as membership_lib
 from lycheerock._internal.membership import gossip as gossip_lib
 from lycheerock._internal.membership import listing
+from lycheerock._internal.membership import members as members_lib
 from lycheerock._internal.operator import metrics as metrics_lib
 from lycheerock._internal.operator import views
 from lycheerock._internal.peers import channels as channels_lib
@@ -40,6 +46,9 @@
 
 _LOG = structlog.get_logger()
 
+# Streams of peers end when these have heard that this instance has left.
+PEER_CALLS_GRACE_S = 2.0
+
 
 class Daemon:
     """All parts of one process."""
@@ -47,6 +56,10 @@
     def __init__(self, settings: settings_lib.Settings):
         self._settings = settings
         self.incarnation = time.time_ns() // 1_000_000
+        self._phase = phase_lib.PhaseState()
+        self._in_flight = in_flight_lib.InFlight()
+        self._signals = asyncio.Queue[int]()
+        self._is_stopping = False
         self._store = store_lib.BundleStore(
             gate_lib.AdmissionGate(time.monotonic())
         )
@@ -55,7 +68,6 @@
         self._bundle_view = views.BundleView()
         self._store.subscribe(self._bundle_view.apply)
         self._metrics = metrics_lib.RequestMetrics()
-        self._stop = asyncio.Event()
         self._membership = membership_lib.build(
             settings, self.incarnation, self._target_states, random.Random()
         )
@@ -64,6 +76,7 @@
         self._directory.subscribe(
             following.link_follower(self._links, settings.instance_id)
         )
+        self._directory.subscribe(self._follow_own)
         candidates = following.Candidates(self._directory)
         self._dispatcher = dispatcher_lib.Dispatcher(
             settings.instance_id,
@@ -103,18 +116,55 @@
             table, context, self._forwarder.forward
         )
 
-    async def run(self) -> None:
-        """Serves until SIGTERM or SIGINT."""
+    def _follow_own(self, member: members_lib.Member) -> None:
+        if member.instance_id == self._settings.instance_id:
+            self.incarnation = member.incarnation
+            self._runner.table.raise_incarnation(member.incarnation)
+
+    async def run(self) -> int:
+        """Serves until SIGTERM or SIGINT and stops without cutting a request.
+
+        Returns:
+          Exit code. A second signal or the end of the grace time ends the
+          process with code 1 from within.
+        """
         loop = asyncio.get_running_loop()
-        for signal_number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signal_number, self._stop.set)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._on_signal, number)
         async with contextlib.AsyncExitStack() as stack:
-            await self._start(stack)
+            steps = await self._start(stack)
             _LOG.info("started", incarnation=self.incarnation)
-            await self._stop.wait()
-            _LOG.info("stopping")
+            await self._signals.get()
+            _LOG.info("stopping", in_flight=len(self._in_flight))
+            await self._stop(steps)
+        return 0
 
-    async def _start(self, stack: contextlib.AsyncExitStack) -> None:
+    def _on_signal(self, number: int) -> None:
+        self._is_stopping = True
+        self._signals.put_nowait(number)
+
+    async def _stop(self, steps: stopping.Steps) -> None:
+        graceful = asyncio.create_task(
+            stopping.run(
+                self._phase,
+                self._in_flight,
+                self._settings.balancer_notice_s,
+                steps,
+            )
+        )
+        second = asyncio.create_task(self._signals.get())
+        await asyncio.wait(
+            (graceful, second),
+            timeout=self._settings.grace_limit_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if not graceful.done():
+            reason = "second signal" if second.done() else "grace limit"
+            stopping.cut(self._in_flight, reason)
+        second.cancel()
+        graceful.result()
+
+    async def _start(self, stack: contextlib.AsyncExitStack) -> stopping.Steps:
         stack.push_async_callback(self._platform.close)
         stack.push_async_callback(self._channels.close)
         stack.push_async_callback(self._dispatcher.close)
@@ -139,16 +189,24 @@
             metrics=self._metrics,
             observe_end=request_ends.observer(self._metrics),
         )
-        await _serve(stack, entry.build(), self._settings.caller_address)
+        app = entry.build()
+        app.middlewares.append(callers.middleware(self._in_flight, self._phase))
+        listener = await _serve(stack, app, self._settings.caller_address)
         operator = operator_wiring.build(self._operator_parts())
         await _serve(stack, operator, self._settings.operator_address)
+        return stopping.Steps(
+            self._gossip.announce_leaving,
+            listener.stop,
+            self._gossip.announce_left,
+            lambda: server.stop(PEER_CALLS_GRACE_S),
+        )
 
     def _operator_parts(self) -> operator_wiring.Parts:
         return operator_wiring.Parts(
             settings=self._settings,
             dump=self.dump,
-            is_ready=lambda: not self._store.problem(),
-            is_stopping=self._stop.is_set,
+            is_ready=self._is_ready,
+            is_stopping=lambda: self._is_stopping,
             directory=self._directory,
             bundle=self._bundle_view,
             bundle_actions=self._bundles.actions,
@@ -159,10 +217,16 @@
             platform_calls=self._platform.call_counts,
         )
 
+    def _is_ready(self) -> bool:
+        is_serving = self._phase.phase == phase_lib.Phase.SERVING
+        return is_serving and not self._store.problem()
+
     async def _start_peer_server(self) -> grpc.aio.Server:
         servicer = peer_server.PeerServicer(
-            self._dispatcher.submit_here,
-            forwarding.serve(self._runner, self._store),
+            self._in_flight.tracked_submit(self._dispatcher.submit_here),
+            self._in_flight.tracked_run(
+                forwarding.serve(self._runner, self._store)
+            ),
             self._gossip.serve,
         )
         servicer.bundle_handlers = self._bundles.handlers
@@ -185,6 +249,10 @@
             ],
             "gossip": dataclasses.asdict(self._gossip.counters),
             "targets": self._dispatcher.state(),
+            "phase": self._phase.phase.name.lower(),
+            "in_flight": [
+                dataclasses.asdict(r) for r in self._in_flight.requests()
+            ],
             "keys_used": len(self._runner.table),
             "platform_calls": dict(self._platform.call_counts),
         }
@@ -194,10 +262,10 @@
     stack: contextlib.AsyncExitStack,
     app: aiohttp.web.Application,
     address: str,
-) -> None:
+) -> listener_lib.Listener:
     runner = aiohttp.web.AppRunner(app, access_log=None)
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
-    host, _, port = address.rpartition(":")
-    site = aiohttp.web.TCPSite(runner, host, int(port))
-    await site.start()
+    listener = listener_lib.Listener(runner, address)
+    await listener.start()
+    return listener
