--- a/packages/bench/src/lycheerock_bench/_internal/fake_target.py
+++ b/packages/bench/src/lycheerock_bench/_internal/fake_target.py
@@ -60,6 +60,7 @@
         self._silent: set[asyncio.BaseTransport] = set()
         self._counts: collections.Counter[str] = collections.Counter()
         self._runs: collections.Counter[str] = collections.Counter()
+        self._queries: collections.Counter[str] = collections.Counter()
 
     def build(self) -> aiohttp.web.Application:
         """Returns the aiohttp application."""
@@ -112,6 +113,7 @@
         self._counts["shard_requests"] += 1
         await self._enter(request)
         body = msgspec.json.decode(await request.read())
+        self._queries[str(body["query"])] += 1
         reply = self._base_reply(body)
         reply["shard"] = body["shard"]
         status = self._refusal() or self._pick_version(body, reply)
@@ -193,7 +195,11 @@
         self, request: aiohttp.web.Request
     ) -> aiohttp.web.Response:
         return aiohttp.web.json_response(
-            {"counts": self._counts, "runs": self._runs}
+            {
+                "counts": self._counts,
+                "runs": self._runs,
+                "queries": self._queries,
+            }
         )
 
 
--- a/packages/bench/src/lycheerock_bench/_internal/serving.py
+++ b/packages/bench/src/lycheerock_bench/_internal/serving.py
@@ -26,7 +26,13 @@
 async def _start(
     address: str, app: aiohttp.web.Application
 ) -> aiohttp.web.AppRunner:
-    runner = aiohttp.web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    # Targets accept cancellation: a closed connection ends its request.
+    runner = aiohttp.web.AppRunner(
+        app,
+        access_log=None,
+        shutdown_timeout=0.1,
+        handler_cancellation=True,
+    )
     await runner.setup()
     host, _, port = address.rpartition(":")
     await aiohttp.web.TCPSite(runner, host, int(port)).start()
--- a/packages/daemon/src/lycheerock/_internal/dispatch/lane_table.py
+++ b/packages/daemon/src/lycheerock/_internal/dispatch/lane_table.py
@@ -184,7 +184,7 @@
         return [lane.lane_id for lane in idle if lane.last_answer_s < before_s]
 
     def tick(
-        self, elapsed_s: float, now_s: float, service_time_s: float, limit: int
+        self, elapsed_s: float, now_s: float, service_time_s: float
     ) -> Iterator[tuple[int, Verdict]]:
         """Finds the lanes whose requests are to be given up.
 
@@ -194,7 +194,6 @@
             arrived meanwhile have not been read.
           now_s: Monotonic time.
           service_time_s: Usual time of a request; see `silent_after_s`.
-          limit: Requests that may be in flight.
 
         Yields:
           Lane and reason.
@@ -203,12 +202,10 @@
         silent_after_s = self.silent_after_s(service_time_s)
         for lane in busy:
             lane.quiet_s += elapsed_s
-        # With every slot on a quiet lane no other lane can prove that the
-        # target answers, so that one of them is given up for a new connection.
-        # A request on a new connection stays: the target itself is slow.
-        is_stalled = len(busy) >= limit and all(
-            lane.quiet_s >= silent_after_s for lane in busy
-        )
+        # With every busy lane quiet no other lane can prove that the target
+        # answers, so that one of them is given up for a new connection. A
+        # request on a new connection stays: the target itself is slow.
+        is_stalled = all(lane.quiet_s >= silent_after_s for lane in busy)
         for lane in sorted(busy, key=lambda lane: -lane.quiet_s):
             is_suspect = lane.idempotent and lane.quiet_s >= silent_after_s
             if lane.idempotent and now_s >= lane.deadline_s:
--- a/packages/daemon/src/lycheerock/_internal/dispatch/port_state.py
+++ b/packages/daemon/src/lycheerock/_internal/dispatch/port_state.py
@@ -238,7 +238,7 @@
             for lane_id in self.lanes.excess(0):
                 yield self._close(lane_id)
         for lane_id, verdict in tuple(
-            self.lanes.tick(elapsed_s, now_s, self._usual_time_s(), self.limit)
+            self.lanes.tick(elapsed_s, now_s, self._usual_time_s())
         ):
             yield from self._give_up(lane_id, verdict)
 
--- a/tests/test_lane_choice.py
+++ b/tests/test_lane_choice.py
@@ -5,6 +5,7 @@
 import test_port_state
 
 from lycheerock._internal.dispatch import lane_table
+from lycheerock._internal.dispatch import port_messages
 from lycheerock._internal.dispatch import port_state
 
 Harness = test_port_state.Harness
@@ -69,6 +70,17 @@
         run_for(port, 1.0)
         assert [a.verdict for a in port.given_up] == [SILENT]
 
+    def test_few_requests_on_silent_lanes_are_found(self) -> None:
+        # Guards against a silent connection that nobody else can reveal,
+        # because the target has no other request.
+        port = self._two_busy()
+        for lane_id in list(port.busy):
+            port.end(lane_id)
+        port.offer(make_entry(100.0))
+        run_for(port, SILENT_S + 0.1)
+        assert [a.verdict for a in port.given_up] == [SILENT]
+        assert len(port.busy) == 1
+
     def test_all_lanes_silent_frees_one_at_a_time(self) -> None:
         # Guards against a port whose every slot is on a silent connection.
         port = Harness(3, 6)
@@ -96,6 +108,44 @@
         assert not port.given_up
 
 
+class TestIdleLane:
+    """Connections that are not needed or not trusted are closed."""
+
+    def _three_idle(self) -> Harness:
+        port = Harness(3, 6)
+        port.warm_up()
+        for _ in range(3):
+            port.offer(make_entry(100.0))
+        for lane_id in list(port.busy):
+            port.end(lane_id)
+        return port
+
+    def test_idle_lanes_close_with_a_silent_one(self) -> None:
+        # Guards against one silent connection after another being tried.
+        port = self._three_idle()
+        run_for(port, 0.1)
+        port.offer(make_entry(100.0))
+        run_for(port, SILENT_S + 0.1)
+        assert len(port.given_up) == 1
+        assert sorted(port.closing) == [1, 2, 3]
+
+    def test_lower_share_closes_idle_lanes(self) -> None:
+        # Guards against a bundle change that leaves too many connections.
+        port = self._three_idle()
+        port.state.update(port_messages.PortLimits(3, 1))
+        port.advance()
+        port.close_lanes()
+        assert len(port.state.lanes) == 1
+
+    def test_unused_lanes_close(self) -> None:
+        # Guards against a former owner that keeps its connections.
+        port = self._three_idle()
+        run_for(port, 0.1)
+        port.tick(port_state.IDLE_LIMIT_S)
+        port.close_lanes()
+        assert not port.state.lanes
+
+
 class TestBookingLane:
     """A booking uses a proven or a new connection and is not cut."""
 
