Keep the ports of the cost script apart from the harness

Cause: the script used ports from the range that the harness claims, and waited without a bound for its target. One run under a profiler did not end within ten minutes while other deployments ran; a port in use is the likely cause, but was not seen. Change: ports above the range of the harness, and a bound on the wait. Conclusion: the script ends with an error when its target cannot start.

--- a/tools/dispatch_cost.py
+++ b/tools/dispatch_cost.py
@@ -25,8 +25,11 @@
 from lycheerock_bench._internal import deployments
 from lycheerock_model import bundle_check
 
-_TARGET_PORT = 31_400
-_PEER_ADDRESS = "127.0.0.1:31450"
+# Above the ports that the harness claims and below those that the kernel gives
+# to outgoing connections.
+_TARGET_PORT = 32_400
+_PEER_ADDRESS = "127.0.0.1:32450"
+_START_TRIES = 400
 _CONCURRENCY = 30
 _SHARDS = 980
 _SHAPE = harness.ServiceShape("cost", "latency", 1, 1, 1, 3, 30)
@@ -108,10 +111,13 @@
         "i0", lambda: candidates, {}, target_states.TargetStates()
     )
     dispatcher.apply(bundle_check.load(text))
-    while (
-        await dispatcher.submit_here(_work(0))
-    ).status != work_lib.Status.REPLIED:
+    for _ in range(_START_TRIES):
+        result = await dispatcher.submit_here(_work(0))
+        if result.status == work_lib.Status.REPLIED:
+            break
         await asyncio.sleep(0.05)
+    else:
+        raise RuntimeError("the target does not answer; is its port in use?")
     _measure_owners(dispatcher)
     await _measure("own connections", dispatcher.submit_here, count)
     await dispatcher.close()
