--- a/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
@@ -26,7 +26,7 @@
 from lycheerock._internal.operator import metrics as metrics_lib
 from lycheerock._internal.operator import views
 from lycheerock._internal.peers import channels as channels_lib
-from lycheerock._internal.peers import links as links_lib
+from lycheerock._internal.peers import link_table
 from lycheerock._internal.peers import server as peer_server
 from lycheerock._internal.platform import client as client_lib
 from lycheerock._internal.query import records as records_lib
@@ -60,10 +60,7 @@
         self._store.subscribe(self._bundle_view.apply)
         self._metrics = metrics_lib.RequestMetrics()
         self._stop = asyncio.Event()
-        self._links = {
-            peer.instance_id: links_lib.PeerLink(peer.peer_address)
-            for peer in self._directory.peers()
-        }
+        self._links = link_table.LinkTable()
         self._dispatcher = dispatcher_lib.Dispatcher(
             settings.instance_id,
             lambda: self._candidates,
@@ -115,8 +112,9 @@
         stack.push_async_callback(self._channels.close)
         stack.push_async_callback(self._dispatcher.close)
         tasks = [asyncio.create_task(self._bundles.run())]
-        for link in self._links.values():
-            tasks.append(asyncio.create_task(link.run()))
+        stack.push_async_callback(self._links.close)
+        for peer in self._directory.peers():
+            self._links.add(peer.instance_id, peer.peer_address)
         for task in tasks:
             stack.callback(task.cancel)
         server = await self._start_peer_server()
