--- a/packages/bench/src/lycheerock_bench/__main__.py
+++ b/packages/bench/src/lycheerock_bench/__main__.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from lycheerock_bench._internal import booking_trial as booking_trial_lib
+from lycheerock_bench._internal import control_cost
 from lycheerock_bench._internal import demo
 from lycheerock_bench._internal import deployments
 from lycheerock_bench._internal import examples
@@ -18,6 +19,7 @@
 from lycheerock_bench._internal import measure_costs as costs
 from lycheerock_bench._internal import measure_ownership as ownership
 from lycheerock_bench._internal import measure_serving as measure
+from lycheerock_bench._internal import rollout_measurement
 from lycheerock_bench._internal import serving
 from lycheerock_bench._internal import serving_scenarios
 from lycheerock_model import bundle_check
@@ -212,6 +214,55 @@
         )
 
 
+def measure_rollouts(
+    *,
+    directory: pathlib.Path,
+    instances: int = 5,
+    rollouts: int = 50,
+    rest_s: float = 40.0,
+) -> None:
+    """Prints the times from acceptance to in force and the platform calls.
+
+    Args:
+      directory: Where files and logs go.
+      instances: Number of instances.
+      rollouts: Rollouts per condition.
+      rest_s: Time over which the calls at rest are counted.
+    """
+    with aiomisc.entrypoint(log_config=False) as loop:
+        figures = loop.run_until_complete(
+            rollout_measurement.measure(directory, instances, rollouts, rest_s)
+        )
+    print(json.dumps(figures, indent=2))
+
+
+def measure_control(
+    *,
+    directory: pathlib.Path,
+    counts: list[int] = [3, 6, 12, 24, 48],
+    kills: int = 5,
+    window_s: float = 20.0,
+) -> None:
+    """Measures what membership costs an idle instance.
+
+    Prints one JSON line per number of instances.
+
+    Args:
+      directory: Where files and logs go.
+      counts: Numbers of instances, one deployment after another.
+      kills: Instances that are killed in each deployment.
+      window_s: Time for which each idle deployment is watched.
+    """
+    with aiomisc.entrypoint(log_config=False) as loop:
+        for count in counts:
+            cost = loop.run_until_complete(
+                control_cost.measure(
+                    directory / str(count), count, kills, window_s
+                )
+            )
+            print(json.dumps(dataclasses.asdict(cost)), flush=True)
+
+
 def main() -> None:
     """Entry point of the `lycheerock-bench` binary."""
     sys.exit(
@@ -226,6 +277,8 @@
                 measure_costs,
                 measure_ownership,
                 booking_trial,
+                measure_rollouts,
+                measure_control,
             ],
             cli_options="all",
             short={},
--- a/packages/daemon/src/lycheerock/__main__.py
+++ b/packages/daemon/src/lycheerock/__main__.py
@@ -37,12 +37,11 @@
         [loaded.operator_token.get_secret_value()],
     )
     with aiomisc.entrypoint(log_config=False, pool_size=2) as loop:
-        loop.run_until_complete(_run(loaded))
-    return 0
+        return loop.run_until_complete(_run(loaded))
 
 
-async def _run(settings: settings_lib.Settings) -> None:
-    await daemon_lib.Daemon(settings).run()
+async def _run(settings: settings_lib.Settings) -> int:
+    return await daemon_lib.Daemon(settings).run()
 
 
 def _print_faults(error: OSError | exceptions.DocumentError) -> None:
--- a/packages/daemon/src/lycheerock/_internal/booking/forwarding.py
+++ b/packages/daemon/src/lycheerock/_internal/booking/forwarding.py
@@ -51,15 +51,16 @@
           The answer of that instance; unknown if it cannot be reached, since an
           earlier attempt with the same key may have run.
         """
-        issuer = await self._connect(key, request.deadline_s)
+        time_left_s = request.deadline_s - time.monotonic()
+        end_s = request.deadline_s - coverage.margin_s(time_left_s, 0)
+        issuer = await self._connect(key, end_s)
         if issuer is None:
             return outcomes.unknown(
                 request,
-                "the instance that issued the key is gone or unreachable",
+                "the instance that issued the key is gone",
                 exceptions.ErrorKind.KEY,
             )
-        time_left_s = request.deadline_s - time.monotonic()
-        time_left_s -= coverage.margin_s(time_left_s, 0)
+        time_left_s = end_s - time.monotonic()
         if time_left_s <= 0.0:
             return outcomes.unknown(request, "the deadline has passed")
         stub = peer_pb2_grpc.PeerStub(self._channels.get(issuer.peer_address))
@@ -75,9 +76,9 @@
         return dataclasses.replace(answer, request_id=request.request_id)
 
     async def _connect(
-        self, key: keys.RequestKey, deadline_s: float
+        self, key: keys.RequestKey, end_s: float
     ) -> members_lib.Member | None:
-        """Waits until the channel to a key's issuer is ready.
+        """Waits until the channel to a key's issuer is ready or time is over.
 
         A channel that failed before, such as while the issuer started, refuses
         calls until its next attempt to connect. Waiting before the call keeps
@@ -88,14 +89,14 @@
             if issuer is None or not _may_be_alive(issuer, key):
                 return None
             channel = self._channels.get(issuer.peer_address)
-            wait_s = min(READY_CHECK_PERIOD_S, deadline_s - time.monotonic())
+            wait_s = min(READY_CHECK_PERIOD_S, end_s - time.monotonic())
             try:
                 async with asyncio.timeout(wait_s):
                     await channel.channel_ready()
                 return issuer
             except TimeoutError:
-                if time.monotonic() >= deadline_s:
-                    return None
+                if time.monotonic() >= end_s:
+                    return issuer
 
 
 def _may_be_alive(issuer: members_lib.Member, key: keys.RequestKey) -> bool:
--- a/packages/daemon/src/lycheerock/_internal/bundles/handlers.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/handlers.py
@@ -9,6 +9,7 @@
 
 from lycheerock._internal.bundles import instance_state
 from lycheerock._internal.bundles import learner as learner_lib
+from lycheerock._internal.membership import members as members_lib
 from lycheerock_protocol import peer_pb2
 
 MICROSECONDS_PER_S = 1_000_000
@@ -21,13 +22,12 @@
 
     def __init__(
         self,
-        instance_id: str,
-        incarnation: int,
+        own: Callable[[], members_lib.Member],
         learner: learner_lib.Learner,
         forward: Forward,
     ):
-        self._instance_id = instance_id
-        self._incarnation = incarnation
+        # Membership may raise the incarnation after the start.
+        self._own = own
         self._learner = learner
         self._store = learner.store
         self._forward = forward
@@ -42,7 +42,9 @@
         token_s = request.contact_token / MICROSECONDS_PER_S
         verdict = state.on_stage(request.number, request.epoch, token_s, now_s)
         problem = ""
-        if verdict is instance_state.StageVerdict.SUPERSEDED:
+        if verdict is instance_state.StageVerdict.HELD:
+            self._confirm(request, token_s, now_s)
+        elif verdict is instance_state.StageVerdict.SUPERSEDED:
             problem = f"epoch {state.epoch} has replaced {request.epoch}"
         elif verdict is instance_state.StageVerdict.WANTED:
             problem = await self._learner.acknowledge(
@@ -57,10 +59,20 @@
             in_force=self._store.number,
             problem=problem,
             contact_token=int(self._store.now_s() * MICROSECONDS_PER_S),
-            incarnation=self._incarnation,
+            incarnation=self._own().incarnation,
             epoch=state.epoch,
         )
 
+    def _confirm(
+        self, request: peer_pb2.StageRequest, token_s: float, now_s: float
+    ) -> None:
+        # The coordinator held the token before it could accept, so the number
+        # that it read when its epoch began was the accepted one.
+        gate = self._store.gate
+        is_same = request.in_force == self._store.number
+        if gate is not None and is_same and token_s <= now_s:
+            gate.confirm(token_s, now_s)
+
     async def activate(
         self, request: peer_pb2.ActivateRequest
     ) -> peer_pb2.ActivateReply:
@@ -86,14 +98,12 @@
         """Returns the numbers and whether requests are admitted."""
         problem = self._store.problem()
         state = self._store.state
-        age_s = state.contact_age_s(self._store.now_s())
         reply = peer_pb2.BundleStatusReply(
-            instance_id=self._instance_id,
-            incarnation=self._incarnation,
+            instance_id=self._own().instance_id,
+            incarnation=self._own().incarnation,
             in_force=self._store.number,
             admitting=not problem,
             problem=problem or self._problem,
-            contact_age_ms=int(age_s * 1000) + 1,
         )
         if state.binding is not None:
             reply.rollout_number = state.binding.number
--- a/packages/daemon/src/lycheerock/_internal/bundles/network.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/network.py
@@ -8,7 +8,7 @@
 from lycheerock._internal.membership import directory as directory_lib
 from lycheerock._internal.membership import members as members_lib
 
-_GONE = frozenset({members_lib.MemberState.DEAD})
+_GONE = frozenset({members_lib.MemberState.DEAD, members_lib.MemberState.LEFT})
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/daemon/src/lycheerock/_internal/dispatch/dispatcher.py
+++ b/packages/daemon/src/lycheerock/_internal/dispatch/dispatcher.py
@@ -120,13 +120,16 @@
         return _Relay(work, link, self.submit_here).reply
 
     def _owner_link(self, target_id: str) -> Link | None:
+        """Returns the link to the owner, or to the standby if it is lost."""
         if self._mode == bundle_lib.DispatchMode.DIRECT:
             return None
-        owners = self.owners(target_id)
-        if not owners or owners[0] == self._instance_id:
-            return None
-        link = self._links.get(owners[0])
-        return link if link is not None and link.is_ready else None
+        for instance_id in self.owners(target_id)[:2]:
+            if instance_id == self._instance_id:
+                return None
+            link = self._links.get(instance_id)
+            if link is not None and link.is_ready:
+                return link
+        return None
 
     def submit_here(
         self, work: work_lib.Work
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -54,7 +54,8 @@
 
 
 async def _forward_while_issuer_starts(address: str) -> answers.Answer:
-    known = directory.Directory(_member("i1", ""), [_member("i0", address)])
+    known = directory.Directory(_member("i1", ""))
+    known.put(_member("i0", address))
     pool = channels.Channels()
     forwarder = forwarding.Forwarder(known, pool)
     key = keys.RequestKey("i0", 1, 1, 0, "")
