Ask leaving targets whether they serve again

Cause: a leaving target gets no work, so no reply told of its return, and a target that was restarted after a drain got no work for good. Change: the owner of a leaving target sends POST /v1/state once a second, on a connection of its own share; the report spreads by gossip. The bundle routes write message like all other routes. Conclusion: probes run no work at the target and stay within the share.

--- a/features/steps/bundle_steps.py
+++ b/features/steps/bundle_steps.py
@@ -91,7 +91,7 @@
     lost = [r["error"] for r in context.replies.values() if "error" in r]
     assert len(won) == len(lost) == 1, context.replies
     assert lost[0]["kind"] == "conflict", lost
-    assert won[0] in lost[0]["problem"], lost
+    assert won[0] in lost[0]["message"], lost
     assert f"propose {number + 1}" in lost[0]["remedy"], lost
 
 
--- a/packages/bench/src/lycheerock_bench/_internal/fake_target.py
+++ b/packages/bench/src/lycheerock_bench/_internal/fake_target.py
@@ -79,6 +79,7 @@
         app = aiohttp.web.Application()
         app.router.add_post("/v1/shard", self._shard)
         app.router.add_post("/v1/run", self._run)
+        app.router.add_post("/v1/state", self._state)
         app.router.add_put("/control/behaviour", self._set_behaviour)
         app.router.add_get("/control/counts", self._get_counts)
         app.router.add_get("/control/journal", self._get_journal)
@@ -186,6 +187,16 @@
             self._counts[status] += 1
         return await self._reply(request, reply | {"status": status})
 
+    async def _state(
+        self, request: aiohttp.web.Request
+    ) -> aiohttp.web.StreamResponse:
+        self._counts["state_requests"] += 1
+        await self._enter(request)
+        body = msgspec.json.decode(await request.read())
+        return await self._reply(
+            request, self._base_reply(body) | {"status": "ok"}
+        )
+
     def _base_reply(self, body: Any) -> dict[str, Any]:
         return {
             "attempt_id": body["attempt_id"],
--- a/packages/ctl/src/lycheectl/_internal/client.py
+++ b/packages/ctl/src/lycheectl/_internal/client.py
@@ -126,8 +126,7 @@
 
 
 def _to_error(error: dict[str, Any]) -> answers.ErrorBody:
-    # The bundle routes name the text "problem", all others "message".
-    message = error.get("message") or error["problem"]
+    message = error["message"]
     return answers.ErrorBody(
         error["kind"], message, error["remedy"], error.get("retry_after_ms")
     )
--- a/packages/daemon/src/lycheerock/_internal/dispatch/dispatcher.py
+++ b/packages/daemon/src/lycheerock/_internal/dispatch/dispatcher.py
@@ -101,6 +101,12 @@
         target = self._targets[target_id]
         return self._ranks.rank(target_id, target.region, target.zone)
 
+    def is_owner(self, target_id: str) -> bool:
+        """Tells whether this instance owns a target of the bundle."""
+        if target_id not in self._targets:
+            return False
+        return self.owners(target_id)[0] == self._instance_id
+
     def submit(self, work: work_lib.Work) -> asyncio.Future[work_lib.Result]:
         """Sends a request by way of the owner if it can be reached.
 
@@ -145,7 +151,8 @@
             return work_lib.Result(
                 work_lib.Status.NOT_SENT, detail="unknown target"
             )
-        if self._target_states.is_leaving(work.target_id):
+        is_leaving = self._target_states.is_leaving(work.target_id)
+        if is_leaving and not work.is_probe:
             return work_lib.Result(work_lib.Status.LEAVING)
         return None
 
--- a/packages/daemon/src/lycheerock/_internal/dispatch/port_state.py
+++ b/packages/daemon/src/lycheerock/_internal/dispatch/port_state.py
@@ -117,10 +117,11 @@
         if work.deadline_s <= now_s:
             return work_lib.Result(work_lib.Status.EXPIRED)
         state = self._find_state(work.target_id)
-        if self.is_retired or (
+        is_leaving = (
             state is not None
             and state.state == target_states.ServingState.DRAINING
-        ):
+        )
+        if self.is_retired or (is_leaving and not work.is_probe):
             return work_lib.Result(work_lib.Status.LEAVING)
         if state is not None and state.order != self._serving_order:
             # A new epoch or sequence means that the target restarted or
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/dispatch/state_probes.py
@@ -0,0 +1,60 @@
+"""Asks leaving targets whether they serve again.
+
+A leaving target gets no work, so that no reply would ever tell of its return.
+The owner of the target asks on a connection of its own share; gossip spreads
+the answer.
+"""
+
+import asyncio
+import itertools
+import time
+
+import msgspec
+
+from lycheerock._internal.dispatch import dispatcher as dispatcher_lib
+from lycheerock._internal.dispatch import target_states as target_states_lib
+from lycheerock._internal.dispatch import work as work_lib
+
+STATE_PATH = "/v1/state"
+PROBE_PERIOD_S = 1.0
+PROBE_TIMEOUT_S = 1.0
+
+
+async def run(
+    dispatcher: dispatcher_lib.Dispatcher,
+    states: target_states_lib.TargetStates,
+    attempt_prefix: str,
+) -> None:
+    """Probes the leaving targets that this instance owns until cancelled.
+
+    Args:
+      dispatcher: Sends the probes and takes the reports in their replies.
+      states: Tells which targets are leaving.
+      attempt_prefix: Names instance and incarnation in attempt ids.
+    """
+    for number in itertools.count(1):
+        await asyncio.sleep(PROBE_PERIOD_S)
+        probes = [
+            dispatcher.submit_here(
+                _probe(report.target_id, f"{attempt_prefix}.state.{number:x}")
+            )
+            for report in states.reports()
+            if states.is_leaving(report.target_id)
+            and dispatcher.is_owner(report.target_id)
+        ]
+        if probes:
+            await asyncio.wait(probes)
+
+
+def _probe(target_id: str, attempt_id: str) -> work_lib.Work:
+    return work_lib.Work(
+        attempt_id=attempt_id,
+        caller="",
+        service="",
+        target_id=target_id,
+        path=STATE_PATH,
+        body=msgspec.json.encode({"attempt_id": attempt_id}),
+        deadline_s=time.monotonic() + PROBE_TIMEOUT_S,
+        idempotent=True,
+        is_probe=True,
+    )
--- a/packages/daemon/src/lycheerock/_internal/dispatch/work.py
+++ b/packages/daemon/src/lycheerock/_internal/dispatch/work.py
@@ -48,6 +48,8 @@
       body: JSON body.
       deadline_s: Monotonic time after which the result is useless.
       idempotent: Whether the request may be sent again.
+      is_probe: Whether it only asks for the state of the target, so that it may
+        be sent to one that is leaving.
     """
 
     attempt_id: str
@@ -58,6 +60,7 @@
     body: bytes
     deadline_s: float
     idempotent: bool
+    is_probe: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
@@ -18,6 +18,7 @@
 from lycheerock._internal.bundles import gate as gate_lib
 from lycheerock._internal.bundles import store as store_lib
 from lycheerock._internal.dispatch import dispatcher as dispatcher_lib
+from lycheerock._internal.dispatch import state_probes
 from lycheerock._internal.dispatch import target_states as target_states_lib
 from lycheerock._internal.entry import server as entry_server
 from lycheerock._internal.lifecycle import callers
@@ -174,6 +175,11 @@
         jobs = (
             self._bundles.run(),
             self._gossip.run(),
+            state_probes.run(
+                self._dispatcher,
+                self._target_states,
+                f"{self._settings.instance_id}.{self.incarnation:x}",
+            ),
             listing.run(
                 self._platform, self._membership.seeds, random.Random()
             ),
--- a/packages/daemon/src/lycheerock/_internal/operator/bundle_routes.py
+++ b/packages/daemon/src/lycheerock/_internal/operator/bundle_routes.py
@@ -133,7 +133,7 @@
 def _refuse(error: exceptions.LycheerockError) -> aiohttp.web.Response:
     document: dict[str, Any] = {
         "kind": error.kind,
-        "problem": error.problem,
+        "message": error.problem,
         "remedy": error.remedy,
     }
     if error.retry_after_ms is not None:
--- a/tests/test_lycheectl.py
+++ b/tests/test_lycheectl.py
@@ -143,7 +143,7 @@
         "staging": 2,
         "coordinator": "i0",
         "blockers": [],
-        "problem": "",
+        "message": "",
         "instances": [
             {"instance_id": "i0", "in_force": 1, **report},
             {"instance_id": "i1", "in_force": 1, **report},
@@ -209,7 +209,7 @@
 
 
 def refused(kind: str) -> tuple[int, Any]:
-    error = {"kind": kind, "problem": "p", "remedy": "r"}
+    error = {"kind": kind, "message": "p", "remedy": "r"}
     return 409, {"error": error}
 
 
