--- a/features/steps/history_steps.py
+++ b/features/steps/history_steps.py
@@ -1,12 +1,10 @@
 """Steps for streams of searches and bookings whose history is checked."""
 
-import asyncio
 import copy
 import signal
 import time
 from typing import Any
 
-import aiohttp
 from behave import given
 from behave import then
 from behave import when
@@ -66,16 +64,6 @@
     context.loop.run_until_complete(act())
 
 
-async def _wait_listening(context: Any, target_id: str) -> None:
-    while True:
-        try:
-            await context.deployment.target_journal(target_id)
-        except aiohttp.ClientConnectionError:
-            await asyncio.sleep(0.05)
-        else:
-            return
-
-
 async def _hold(context: Any, held: dict[int, list[int]]) -> None:
     for target in context.deployment.targets():
         await context.deployment.behave(target["target_id"], held=held)
@@ -117,7 +105,7 @@
         await stream.progress(2 * PHASE_REQUESTS)
         await stream.stop()
         context.deployment.start_target(KILLED_TARGET)
-        await _wait_listening(context, KILLED_TARGET)
+        await context.deployment.wait_target(KILLED_TARGET)
 
     context.loop.run_until_complete(act())
 
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -3,7 +3,6 @@
 import asyncio
 from typing import Any
 
-import aiohttp
 from behave import step
 from behave import then
 from behave import when
@@ -86,17 +85,7 @@
     """Replaces the process of a target and waits until it listens."""
     context.deployment.kill(target)
     context.deployment.start_target(target)
-
-    async def wait_listening() -> None:
-        while True:
-            try:
-                await _requests(context, target)
-            except aiohttp.ClientConnectionError:
-                await asyncio.sleep(0.05)
-            else:
-                return
-
-    context.loop.run_until_complete(wait_listening())
+    context.loop.run_until_complete(context.deployment.wait_target(target))
 
 
 @then('searches through all instances reach "{target}" again')
--- a/packages/bench/src/lycheerock_bench/_internal/serving_scenarios.py
+++ b/packages/bench/src/lycheerock_bench/_internal/serving_scenarios.py
@@ -72,8 +72,9 @@
     await asyncio.sleep(1.0)
     for target_id in _first_targets(deployment):
         deployment.start_target(target_id)
-    await asyncio.sleep(1.0)
-    await _change(deployment, _first_targets(deployment), cold_s=3.0)
+    for target_id in _first_targets(deployment):
+        await deployment.wait_target(target_id)
+        await _change(deployment, [target_id], cold_s=3.0)
 
 
 async def _index_roll(deployment: harness.Deployment) -> None:
--- a/packages/bench/src/lycheerock_bench/harness.py
+++ b/packages/bench/src/lycheerock_bench/harness.py
@@ -179,6 +179,18 @@
             await asyncio.sleep(0.05)
         raise TimeoutError(f"{instance_id} is not ready; read its log")
 
+    async def wait_target(self, target_id: str) -> None:
+        """Waits until a target that was started listens."""
+        deadline_s = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < deadline_s:
+            try:
+                await self.target_counts(target_id)
+            except aiohttp.ClientConnectionError:
+                await asyncio.sleep(0.05)
+            else:
+                return
+        raise TimeoutError(f"{target_id} does not listen; read its log")
+
     async def search(
         self,
         instance_id: str,
--- a/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
@@ -69,6 +69,16 @@
         self._bundle_view = views.BundleView()
         self._store.subscribe(self._bundle_view.apply)
         self._metrics = metrics_lib.RequestMetrics()
+        self._platform = client_lib.PlatformClient(
+            settings.platform_address, settings.instance_id
+        )
+        self._build_membership()
+        context = self._build_serving()
+        self._build_bundles()
+        self._build_booking(context)
+
+    def _build_membership(self) -> None:
+        settings = self._settings
         self._membership = membership_lib.build(
             settings, self.incarnation, self._target_states, random.Random()
         )
@@ -78,6 +88,9 @@
             following.link_follower(self._links, settings.instance_id)
         )
         self._directory.subscribe(self._follow_own)
+
+    def _build_serving(self) -> sender_lib.Context:
+        settings = self._settings
         candidates = following.Candidates(self._directory)
         self._dispatcher = dispatcher_lib.Dispatcher(
             settings.instance_id,
@@ -93,9 +106,10 @@
         )
         self._searcher = search_lib.Searcher(context)
         self._records = records_lib.Records()
-        self._platform = client_lib.PlatformClient(
-            settings.platform_address, settings.instance_id
-        )
+        return context
+
+    def _build_bundles(self) -> None:
+        settings = self._settings
         self._bundles = bundles_build.build(
             settings,
             self._store,
@@ -109,6 +123,9 @@
             self._bundles.local_bundle,
             self._bundles.on_peer_bundle,
         )
+
+    def _build_booking(self, context: sender_lib.Context) -> None:
+        settings = self._settings
         table = keys.KeyTable(
             settings.instance_id, self.incarnation, time.monotonic()
         )
--- a/tests/test_lycheectl.py
+++ b/tests/test_lycheectl.py
@@ -143,7 +143,7 @@
         "staging": 2,
         "coordinator": "i0",
         "blockers": [],
-        "message": "",
+        "problem": "",
         "instances": [
             {"instance_id": "i0", "in_force": 1, **report},
             {"instance_id": "i1", "in_force": 1, **report},
