--- a/packages/bench/src/lycheerock_bench/_internal/measure_serving.py
+++ b/packages/bench/src/lycheerock_bench/_internal/measure_serving.py
@@ -145,6 +145,8 @@
             target["target_id"], **serving_scenarios.BASE_BEHAVIOUR
         )
     entries = [s["caller_address"] for s in deployment.settings.values()]
+    if scenario.is_steady:
+        await scenario.inject(deployment)
     await load.run(entries, _specs(plan, WARM_UP_S), plan.seed + 1)
     before = await _counts(deployment)
     injection = asyncio.create_task(_inject(deployment, scenario))
@@ -157,8 +159,9 @@
 async def _inject(
     deployment: harness.Deployment, scenario: serving_scenarios.Scenario
 ) -> None:
-    await asyncio.sleep(FAULT_AFTER_S)
-    await scenario.inject(deployment)
+    if not scenario.is_steady:
+        await asyncio.sleep(FAULT_AFTER_S)
+        await scenario.inject(deployment)
 
 
 def _specs(plan: Plan, duration_s: float) -> list[load.LoadSpec]:
--- a/packages/bench/src/lycheerock_bench/_internal/serving_scenarios.py
+++ b/packages/bench/src/lycheerock_bench/_internal/serving_scenarios.py
@@ -18,11 +18,14 @@
 
     Attributes:
       name: Name on the command line and in the table.
-      inject: Injects the fault after the load has started.
+      inject: Injects the fault.
+      is_steady: Whether the fault is there before the warm-up, so that its
+        onset is not measured.
     """
 
     name: str
     inject: Inject
+    is_steady: bool = False
 
 
 # Service times are long against the cost of a request in this process, so that
@@ -103,7 +106,8 @@
     scenario.name: scenario
     for scenario in (
         Scenario("healthy", _healthy),
-        Scenario("straggler", _straggler),
+        Scenario("straggler", _straggler, is_steady=True),
+        Scenario("straggler-onset", _straggler),
         Scenario("lost-replica", _lost_replica),
         Scenario("cold-start", _cold_start),
         Scenario("index-roll", _index_roll),
--- a/packages/bench/src/lycheerock_bench/harness.py
+++ b/packages/bench/src/lycheerock_bench/harness.py
@@ -19,7 +19,8 @@
 from lycheerock_bench._internal import deployments
 
 # Below the range from which the kernel takes ports of outgoing connections.
-_PORT_MIN = 10_000
+# Above the ports of `make demo`, which may run at the same time.
+_PORT_MIN = 19_000
 _PORT_MAX = 32_000
 _BLOCK_SIZE = 400
 _TARGETS_OFFSET = 2
