--- a/packages/daemon/src/lycheerock/_internal/entry/server.py
+++ b/packages/daemon/src/lycheerock/_internal/entry/server.py
@@ -202,14 +202,16 @@
                 context.caller, context.service, elapsed_s, completed
             )
         self._metrics.observe_request(
-            service=context.service,
-            caller=context.caller,
-            outcome=answer.outcome.value,
-            elapsed_s=elapsed_s,
-            covered_count=len(answer.covered),
-            lacking_count=len(answer.lacking),
-            first_attempt_count=completed.first_attempt_count,
-            extra_attempt_count=completed.extra_attempt_count,
+            metrics_lib.RequestEnd(
+                service=context.service,
+                caller=context.caller,
+                outcome=answer.outcome.value,
+                elapsed_s=elapsed_s,
+                covered_count=len(answer.covered),
+                lacking_count=len(answer.lacking),
+                first_attempt_count=completed.first_attempt_count,
+                extra_attempt_count=completed.extra_attempt_count,
+            )
         )
         if self._observe_end is not None:
             self._observe_end(answer, elapsed_s)
--- a/packages/daemon/src/lycheerock/_internal/operator/metrics.py
+++ b/packages/daemon/src/lycheerock/_internal/operator/metrics.py
@@ -6,6 +6,8 @@
 
 from hdrh import histogram
 
+from lycheerock._internal.query import metrics as query_metrics
+
 # Microseconds. The longest deadline of a bundle is 600 s.
 LATENCY_MIN_US = 1
 LATENCY_MAX_US = 600_000_000
@@ -74,41 +76,18 @@
         self.requests_by_caller: dict[str, int] = {}
         self.refusals: dict[str, int] = {}
 
-    # The eight values are the interface with the query package.
-    def observe_request(  # noqa: PLR0913, PLR0917
-        self,
-        service: str,
-        caller: str,
-        outcome: str,
-        elapsed_s: float,
-        covered_count: int,
-        lacking_count: int,
-        first_attempt_count: int,
-        extra_attempt_count: int,
-    ) -> None:
-        """Counts one caller request, at the time of its answer.
-
-        Args:
-          service: Name of the service; empty if the request named none.
-          caller: Name of the caller; empty if it is not known.
-          outcome: Outcome of the answer.
-          elapsed_s: Seconds from receipt to answer.
-          covered_count: Shards that the answer covers.
-          lacking_count: Shards that the answer lacks.
-          first_attempt_count: First shard requests that were sent.
-          extra_attempt_count: Hedges, retries and repeats that were sent.
-        """
-        label = self._services.admit(service or UNKNOWN_LABEL)
+    def observe_request(self, end: query_metrics.RequestEnd) -> None:
+        """Counts one caller request, at the time of its answer."""
+        label = self._services.admit(end.service or UNKNOWN_LABEL)
         counts = self.counts.setdefault(label, ServiceCounts())
-        outcome = str(outcome)
-        counts.outcomes[outcome] = counts.outcomes.get(outcome, 0) + 1
-        counts.elapsed_s += elapsed_s
-        counts.covered += covered_count
-        counts.lacking += lacking_count
-        counts.first_attempts += first_attempt_count
-        counts.extra_attempts += extra_attempt_count
-        self._latency(label).record_value(_to_recordable_us(elapsed_s))
-        caller_label = self._callers.admit(caller or UNKNOWN_LABEL)
+        _increment(counts.outcomes, end.outcome)
+        counts.elapsed_s += end.elapsed_s
+        counts.covered += end.covered_count
+        counts.lacking += end.lacking_count
+        counts.first_attempts += end.first_attempt_count
+        counts.extra_attempts += end.extra_attempt_count
+        self._latency(label).record_value(_to_recordable_us(end.elapsed_s))
+        caller_label = self._callers.admit(end.caller or UNKNOWN_LABEL)
         _increment(self.requests_by_caller, caller_label)
 
     def observe_refusal(self, kind: str) -> None:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import hashlib
 import time
 from typing import Any
@@ -19,6 +20,7 @@
 from lycheerock._internal.dispatch import target_states
 from lycheerock._internal.entry import admission
 from lycheerock._internal.entry import server
+from lycheerock._internal.query import metrics as metrics_lib
 from lycheerock._internal.query import records
 from lycheerock._internal.query import search
 from lycheerock._internal.query import sender
@@ -39,8 +41,8 @@
     def __init__(self) -> None:
         self.calls: list[dict[str, Any]] = []
 
-    def observe_request(self, **values: Any) -> None:
-        self.calls.append(values)
+    def observe_request(self, end: metrics_lib.RequestEnd) -> None:
+        self.calls.append(dataclasses.asdict(end))
 
 
 class Entry:
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -7,6 +7,7 @@
 
 from lycheerock._internal.operator import exposition
 from lycheerock._internal.operator import metrics as metrics_lib
+from lycheerock._internal.query import metrics as query_metrics
 
 SAMPLE_LINE = re.compile(
     r'^[a-z_]+(\{[a-z]+="([^"\\]|\\.)*"(,[a-z]+="([^"\\]|\\.)*")*\})? \S+$'
@@ -22,7 +23,9 @@
     extra_attempt_count: int = 2,
 ) -> None:
     metrics.observe_request(
-        service, caller, "done", elapsed_s, 5, 1, 6, extra_attempt_count
+        query_metrics.RequestEnd(
+            service, caller, "done", elapsed_s, 5, 1, 6, extra_attempt_count
+        )
     )
 
 
