--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,7 @@
 	$(BIN)/pip-compile -q --generate-hashes --no-emit-index-url \
 	  --no-emit-find-links --no-emit-trusted-host --no-emit-options \
 	  --allow-unsafe --strip-extras -o requirements/dev.txt requirements/dev.in
+	$(BIN)/pip-compile -q --generate-hashes --no-emit-index-url \
+	  --no-emit-find-links --no-emit-trusted-host --no-emit-options \
+	  --allow-unsafe --strip-extras -c requirements/dev.txt \
+	  -o requirements/runtime.txt requirements/runtime.in
--- a/packages/bench/src/lycheerock_bench/_internal/booking_trial.py
+++ b/packages/bench/src/lycheerock_bench/_internal/booking_trial.py
@@ -106,21 +106,15 @@
 async def _claim(deployment: harness.Deployment, key: str) -> bool:
     """Creates the object of a key; returns False if it is not proven."""
     nonce = secrets.token_hex(8)
-    url = f"http://{deployment.platform}/objects/keys/{key}"
+    url = f"http://{deployment.platform}/objects/keys"
+    document = {"meta": {"name": key}, "spec": {"nonce": nonce}}
     try:
-        async with deployment.session.put(
-            f"{url}?if_version=0", json={"nonce": nonce}
-        ) as reply:
-            if reply.status != 409:
-                return reply.status == 200
-            # The HTTP library sends a PUT again when the reply is lost, and
-            # the second one meets the object that the first one created.
-            stored: Any = await reply.json()
-            return bool(stored["value"]["nonce"] == nonce)
+        async with deployment.session.post(url, json=document) as reply:
+            return reply.status == 200
     except aiohttp.ClientError:
         # The write may have taken effect; the nonce tells whose it is.
         with contextlib.suppress(aiohttp.ClientError):
-            async with deployment.session.get(url) as reply:
-                stored = await reply.json()
-                return bool(stored["value"]["nonce"] == nonce)
+            async with deployment.session.get(f"{url}/{key}") as reply:
+                stored: Any = await reply.json()
+                return bool(stored["spec"]["nonce"] == nonce)
     return False
--- a/packages/bench/src/lycheerock_bench/_internal/demo.py
+++ b/packages/bench/src/lycheerock_bench/_internal/demo.py
@@ -41,10 +41,10 @@
     """Stores a first, signed bundle at the platform and puts it in force."""
     base = f"http://{platform}/objects"
     number = bundle["number"]
-    url = f"{base}/bundles/{number}?if_version=0"
+    document = {"meta": {"name": str(number)}, "spec": {"bundle": bundle}}
     for _ in range(READY_ATTEMPTS):
         try:
-            async with session.put(url, json={"bundle": bundle}):
+            async with session.post(f"{base}/bundles", json=document):
                 break
         except aiohttp.ClientConnectorError:
             await asyncio.sleep(READY_DELAY_S)
@@ -54,12 +54,12 @@
         "signer": "local-signer",
         "sha256": hashlib.sha256(text).hexdigest(),
     }
-    url = f"{base}/signoffs/{number}?if_version=0"
-    async with session.put(url, json=signoff):
+    document = {"meta": {"name": str(number)}, "spec": signoff}
+    async with session.post(f"{base}/signoffs", json=document):
         pass
     rollout = {"in_force": number, "staging": 0, "coordinator": "", "epoch": 0}
-    url = f"{base}/rollout/current?if_version=0"
-    async with session.put(url, json=rollout):
+    document = {"meta": {"name": "current"}, "spec": rollout}
+    async with session.post(f"{base}/rollout", json=document):
         pass
 
 
--- a/packages/bench/src/lycheerock_bench/_internal/fake_platform.py
+++ b/packages/bench/src/lycheerock_bench/_internal/fake_platform.py
@@ -1,4 +1,9 @@
-"""Fake of the platform: object API and a lagging list of instances."""
+"""Fake of the platform's store of objects, with faults.
+
+Objects have a kind and a name. One revision counter increases with each change
+of any object; a watch of a kind returns the changes after a revision, as long
+as the store still knows them.
+"""
 
 import asyncio
 from collections.abc import Awaitable
@@ -12,7 +17,9 @@
 import msgspec
 
 VALUE_SIZE_MAX_BYTES = 1_048_576
-WATCH_TIMEOUT_S = 30.0
+WATCH_WAIT_MAX_S = 30.0
+PAGE_OBJECTS_MAX = 500
+INSTANCE_KIND = "instances"
 
 _Handler = Callable[
     [aiohttp.web.Request], Awaitable[aiohttp.web.StreamResponse]
@@ -58,8 +65,32 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Stored:
-    version: int
-    value: Any
+    """An object; `revision` is that of its last change."""
+
+    name: str
+    revision: int
+    created: int
+    spec: Any
+
+    def to_wire(self) -> dict[str, Any]:
+        return {
+            "meta": {
+                "name": self.name,
+                "revision": self.revision,
+                "created": self.created,
+                "finalizers": [],
+                "deleting": False,
+            },
+            "spec": self.spec,
+            "status": None,
+        }
+
+
+@dataclasses.dataclass(frozen=True)
+class _Event:
+    kind: str
+    stored: _Stored
+    removed: bool
 
 
 class FakePlatform:
@@ -68,7 +99,9 @@
     def __init__(self, seed: int):
         self._random = random.Random(seed)
         self._objects: dict[tuple[str, str], _Stored] = {}
-        self._instances: list[dict[str, Any]] = []
+        self._revision = 0
+        self._events: list[_Event] = []
+        self._history_from = 0
         self._changed = asyncio.Condition()
         self._faults = Faults()
         self._counts: dict[str, int] = {}
@@ -82,10 +115,11 @@
             middlewares=[self._apply_faults],
         )
         router = app.router
+        router.add_get("/objects/{kind}", self._list_or_watch)
+        router.add_post("/objects/{kind}", self._post)
         router.add_get("/objects/{kind}/{name}", self._get)
         router.add_put("/objects/{kind}/{name}", self._put)
-        router.add_get("/objects/{kind}", self._list)
-        router.add_get("/instances", self._list_instances)
+        router.add_delete("/objects/{kind}/{name}", self._delete)
         router.add_put("/control/instances", self._set_instances)
         router.add_put("/control/faults", self._set_faults)
         router.add_get("/control/counts", self._get_counts)
@@ -106,11 +140,12 @@
         if faults.down:
             raise aiohttp.web.HTTPServiceUnavailable()
         response = await handler(request)
+        is_write = request.method in _WRITES
         lost = self._random.random() < faults.reply_lost_ratio
-        if request.method == "PUT" and faults.down_after_write:
+        if is_write and faults.down_after_write:
             self._faults = dataclasses.replace(faults, down=True)
             lost = True
-        if request.method == "PUT" and lost and request.transport:
+        if is_write and lost and request.transport:
             request.transport.abort()
         # A watch that was pending when the outage began tells nothing either.
         is_down = self._faults.down and self._faults.concern(request)
@@ -125,81 +160,161 @@
         counts[kind] = counts.get(kind, 0) + 1
 
     def _call_kind(self, request: aiohttp.web.Request) -> str:
-        if "watch_after" in request.query:
+        if "watch" in request.query:
             return "watch"
-        return "write" if request.method == "PUT" else "read"
+        return "write" if request.method in _WRITES else "read"
 
     async def _get(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
-        key = (request.match_info["kind"], request.match_info["name"])
-        if "watch_after" in request.query:
-            await self._wait_for(key, int(request.query["watch_after"]))
-        stored = self._objects.get(key)
+        stored = self._objects.get(_key(request))
         if stored is None:
             raise aiohttp.web.HTTPNotFound()
-        return _respond(200, stored)
+        return _respond(200, stored.to_wire())
+
+    async def _list_or_watch(
+        self, request: aiohttp.web.Request
+    ) -> aiohttp.web.Response:
+        kind = request.match_info["kind"]
+        if "watch" in request.query:
+            wait_s = int(request.query.get("wait_ms", "0")) / 1000
+            return await self._watch(
+                kind,
+                int(request.query["watch"]),
+                min(WATCH_WAIT_MAX_S, wait_s),
+            )
+        after = request.query.get("after", "")
+        found = sorted(
+            name for k, name in self._objects if k == kind and name > after
+        )
+        page = found[:PAGE_OBJECTS_MAX]
+        return _respond(
+            200,
+            {
+                "items": [self._objects[kind, n].to_wire() for n in page],
+                "more": len(found) > len(page),
+                "at_rev": self._revision,
+            },
+        )
 
-    async def _wait_for(self, key: tuple[str, str], version: int) -> None:
-        def is_newer() -> bool:
-            stored = self._objects.get(key)
-            return stored is not None and stored.version > version
+    async def _watch(
+        self, kind: str, after_revision: int, wait_s: float
+    ) -> aiohttp.web.Response:
+        def found() -> list[_Event]:
+            return [
+                event
+                for event in self._events
+                if event.kind == kind and event.stored.revision > after_revision
+            ]
 
         try:
-            async with asyncio.timeout(WATCH_TIMEOUT_S), self._changed:
-                await self._changed.wait_for(is_newer)
+            async with asyncio.timeout(wait_s), self._changed:
+                await self._changed.wait_for(
+                    lambda: found() or after_revision < self._history_from
+                )
         except TimeoutError:
+            # The wait ended without a change, which is an answer too.
             pass
+        if after_revision < self._history_from:
+            raise aiohttp.web.HTTPGone()
+        events = [
+            {"object": event.stored.to_wire(), "removed": event.removed}
+            for event in found()
+        ]
+        return _respond(200, {"events": events, "at_rev": self._revision})
+
+    async def _post(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        document = await _read_document(request)
+        key = (request.match_info["kind"], document["meta"]["name"])
+        stored = self._objects.get(key)
+        if stored is not None:
+            return _respond(409, stored.to_wire())
+        updated = await self.store(*key, document.get("spec"))
+        return _respond(200, updated.to_wire())
 
     async def _put(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
-        key = (request.match_info["kind"], request.match_info["name"])
-        expected = int(request.query["if_version"])
-        body = await request.read()
-        if len(body) > VALUE_SIZE_MAX_BYTES:
-            raise aiohttp.web.HTTPRequestEntityTooLarge(
-                VALUE_SIZE_MAX_BYTES, len(body)
-            )
-        value = msgspec.json.decode(body)
-        stored = self._objects.get(key, _Stored(0, None))
-        if stored.version != expected:
-            return _respond(409, stored)
+        document = await _read_document(request)
+        stored = self._objects.get(_key(request))
+        if stored is None:
+            raise aiohttp.web.HTTPNotFound()
+        expected = document["meta"].get("revision")
+        if expected is not None and stored.revision != expected:
+            return _respond(409, stored.to_wire())
+        if stored.spec != document.get("spec"):
+            stored = await self.store(*_key(request), document.get("spec"))
+        return _respond(200, stored.to_wire())
+
+    async def _delete(
+        self, request: aiohttp.web.Request
+    ) -> aiohttp.web.Response:
+        await self.remove(*_key(request))
+        return _respond(200, {})
+
+    async def store(self, kind: str, name: str, spec: Any) -> _Stored:
+        """Creates or replaces an object and returns it."""
         async with self._changed:
-            updated = _Stored(stored.version + 1, value)
-            self._objects[key] = updated
-            self._record_write(key, updated)
+            self._revision += 1
+            known = self._objects.get((kind, name))
+            created = known.created if known else self._revision
+            updated = _Stored(name, self._revision, created, spec)
+            self._objects[kind, name] = updated
+            self._events.append(_Event(kind, updated, removed=False))
+            self._record_write(kind, updated)
             self._changed.notify_all()
-        return _respond(200, updated)
+        return updated
 
-    def _record_write(self, key: tuple[str, str], stored: _Stored) -> None:
-        if key[0] != "bundles":
+    async def remove(self, kind: str, name: str) -> None:
+        """Removes an object if it exists."""
+        async with self._changed:
+            known = self._objects.pop((kind, name), None)
+            if known is None:
+                return
+            self._revision += 1
+            gone = dataclasses.replace(known, revision=self._revision)
+            self._events.append(_Event(kind, gone, removed=True))
+            self._changed.notify_all()
+
+    async def forget_history(self) -> None:
+        """Ends all watches; earlier changes are no longer known."""
+        async with self._changed:
+            self._revision += 1
+            self._history_from = self._revision
+            self._events.clear()
+            self._changed.notify_all()
+
+    def set_faults(self, faults: Faults) -> None:
+        """Shows these faults from now on."""
+        self._faults = faults
+
+    def _record_write(self, kind: str, stored: _Stored) -> None:
+        if kind not in ("bundles", INSTANCE_KIND):
             self._writes.append(
                 {
                     "time_s": time.monotonic(),
-                    "kind": key[0],
-                    "name": key[1],
-                    "version": stored.version,
-                    "value": stored.value,
+                    "kind": kind,
+                    "name": stored.name,
+                    "version": stored.revision,
+                    "value": stored.spec,
                 }
             )
 
-    async def _list(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
-        kind = request.match_info["kind"]
-        names = sorted(name for k, name in self._objects if k == kind)
-        return aiohttp.web.json_response({"names": names})
-
-    async def _list_instances(
-        self, request: aiohttp.web.Request
-    ) -> aiohttp.web.Response:
-        return aiohttp.web.json_response({"instances": self._instances})
-
     async def _set_instances(
         self, request: aiohttp.web.Request
     ) -> aiohttp.web.Response:
-        self._instances = (await request.json())["instances"]
+        listed = {
+            entry["instance_id"]: entry
+            for entry in (await request.json())["instances"]
+        }
+        known = [name for k, name in self._objects if k == INSTANCE_KIND]
+        for name in known:
+            if name not in listed:
+                await self.remove(INSTANCE_KIND, name)
+        for name, entry in listed.items():
+            await self.store(INSTANCE_KIND, name, entry)
         return aiohttp.web.json_response({})
 
     async def _set_faults(
         self, request: aiohttp.web.Request
     ) -> aiohttp.web.Response:
-        self._faults = msgspec.json.decode(await request.read(), type=Faults)
+        self.set_faults(msgspec.json.decode(await request.read(), type=Faults))
         return aiohttp.web.json_response({})
 
     async def _get_counts(
@@ -218,9 +333,26 @@
         return aiohttp.web.json_response(self._writes)
 
 
-def _respond(status: int, stored: _Stored) -> aiohttp.web.Response:
+_WRITES = frozenset({"PUT", "POST", "DELETE"})
+
+
+def _key(request: aiohttp.web.Request) -> tuple[str, str]:
+    return request.match_info["kind"], request.match_info["name"]
+
+
+async def _read_document(request: aiohttp.web.Request) -> dict[str, Any]:
+    body = await request.read()
+    if len(body) > VALUE_SIZE_MAX_BYTES:
+        raise aiohttp.web.HTTPRequestEntityTooLarge(
+            VALUE_SIZE_MAX_BYTES, len(body)
+        )
+    document: dict[str, Any] = msgspec.json.decode(body)
+    return document
+
+
+def _respond(status: int, document: dict[str, Any]) -> aiohttp.web.Response:
     return aiohttp.web.Response(
         status=status,
-        body=msgspec.json.encode(stored),
+        body=msgspec.json.encode(document),
         content_type="application/json",
     )
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that follow the store: route table and targets."""
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/discovery/routes.py
@@ -0,0 +1,61 @@
+"""Applies the operators' configuration to the gateway."""
+
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+
+from lycheerock._internal.platform import client as client_lib
+from lycheerock._internal.platform import configuration
+from lycheerock._internal.routing import table
+from lycheerock_model import exceptions
+
+_LOG = structlog.get_logger()
+
+
+class RouteSource:
+    """Holds the newest route table; its version never goes back."""
+
+    def __init__(self) -> None:
+        self._subscribers: list[Callable[[table.RouteTable], None]] = []
+        self.current: table.RouteTable | None = None
+
+    def subscribe(self, apply: Callable[[table.RouteTable], None]) -> None:
+        """Calls `apply` with each new table."""
+        self._subscribers.append(apply)
+
+    def on_listing(self, listing: client_lib.Listing, _was_lost: bool) -> None:
+        """Takes the whole list of configurations, which has one entry."""
+        if configuration.NAME in listing.values:
+            self._put(listing.values[configuration.NAME])
+
+    def on_changes(self, changes: client_lib.Changes) -> None:
+        """Takes new configurations; only the newest matters."""
+        for change in changes.changes:
+            if change.name == configuration.NAME and not change.is_removed:
+                self._put(change.value)
+
+    def _put(self, value: Any) -> None:
+        try:
+            found = configuration.decode(value)
+        except exceptions.DocumentError as error:
+            _LOG.error("configuration_unreadable", error=str(error))
+            return
+        known = self.current
+        if known is not None and found.version <= known.version:
+            if found.version < known.version:
+                _LOG.warning(
+                    "configuration_older",
+                    version=found.version,
+                    in_force=known.version,
+                )
+            return
+        self.current = found
+        _LOG.info(
+            "configuration_in_force",
+            version=found.version,
+            previous=known.version if known else None,
+            routes=len(found.routes),
+        )
+        for apply in self._subscribers:
+            apply(found)
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP gateway: serves callers from targets by routes."""
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/gateway/daemon.py
@@ -0,0 +1,245 @@
+"""Builds and runs one gateway process."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Mapping
+import contextlib
+import pathlib
+import signal
+import time
+from typing import Any
+
+import aiohttp.web
+import structlog
+
+from lycheerock._internal.discovery import following
+from lycheerock._internal.discovery import routes as routes_lib
+from lycheerock._internal.discovery import targets as targets_lib
+from lycheerock._internal.gateway import delivery as delivery_lib
+from lycheerock._internal.gateway import handler as handler_lib
+from lycheerock._internal.gateway import operations
+from lycheerock._internal.gateway import request_log
+from lycheerock._internal.gateway import retry_budget
+from lycheerock._internal.gateway import server as server_lib
+from lycheerock._internal.gateway import stopping
+from lycheerock._internal.lifecycle import log_stream
+from lycheerock._internal.lifecycle import logs
+from lycheerock._internal.operator import exposition
+from lycheerock._internal.operator import health_routes
+from lycheerock._internal.platform import client as client_lib
+from lycheerock._internal.platform import configuration
+from lycheerock._internal.platform import forwarding
+from lycheerock._internal.platform import target_entries
+from lycheerock._internal.routing import table
+from lycheerock._internal.targets import choice
+from lycheerock._internal.targets import registry as registry_lib
+from lycheerock._internal.upstream import pool as pool_lib
+from lycheerock_model import exceptions
+from lycheerock_model import gateway_settings
+
+_LOG = structlog.get_logger()
+
+# Part of the time after which bounds hold again that a watch may wait. A watch
+# on a path that went silent ends before an old configuration counts as a fault.
+WATCH_WAIT_RATIO = 0.6
+
+
+def distance_measure(
+    zone: str, region_by_zone: Mapping[str, str]
+) -> Callable[[str], choice.Distance]:
+    """Returns a function that tells how far a zone is.
+
+    Args:
+      zone: Zone of this instance.
+      region_by_zone: Region of each zone; an unknown zone counts as far.
+    """
+    region = region_by_zone.get(zone)
+
+    def measure(other: str) -> choice.Distance:
+        if other == zone:
+            return choice.Distance.SAME_ZONE
+        if region is not None and region_by_zone.get(other) == region:
+            return choice.Distance.SAME_REGION
+        return choice.Distance.OTHER_REGION
+
+    return measure
+
+
+class GatewayDaemon:
+    """All parts of one gateway process."""
+
+    def __init__(
+        self,
+        settings: gateway_settings.GatewaySettings,
+        settings_path: pathlib.Path,
+        stream: log_stream.NonBlockingStream,
+    ) -> None:
+        self._settings = settings
+        self._settings_path = settings_path
+        self._stream = stream
+        self._started_s = time.monotonic()
+        self._platform = client_lib.PlatformClient(
+            settings.platform_address, settings.instance_id
+        )
+        self._registry = registry_lib.Registry(
+            distance_measure(settings.zone, settings.region_by_zone),
+            lambda host, port: pool_lib.Pool(
+                host, port, forwarding.REQUEST_ID.lower()
+            ),
+        )
+        self._budgets = retry_budget.RetryBudgets(
+            retry_budget.BudgetTerms(
+                settings.retry_ratio, settings.retry_allowance_count
+            )
+        )
+        self._budgets.share(settings.instance_count_assumed)
+        self._log = request_log.RequestLog()
+        self._routes = routes_lib.RouteSource()
+        self._is_leaving = False
+        self._stop_requested = asyncio.Event()
+        self._handler = handler_lib.Handler(
+            lambda: self._routes.current,
+            delivery_lib.Deliverer(
+                self._registry,
+                self._budgets,
+                forwarding.encode_request,
+                forwarding.decode_reply,
+            ),
+            self._log,
+            lambda: self._is_leaving,
+        )
+        self._routes.subscribe(self._handler.apply)
+        self._routes.subscribe(self._share_connections)
+        self._target_list = targets_lib.TargetList(
+            self._registry, asyncio.get_running_loop().call_later
+        )
+        self._followers = self._build_followers()
+
+    def _build_followers(self) -> dict[str, following.Follower]:
+        wait_s = WATCH_WAIT_RATIO * self._settings.stable_window_ms / 1000
+        sources: dict[str, routes_lib.RouteSource | targets_lib.TargetList] = {
+            configuration.KIND: self._routes,
+            target_entries.KIND: self._target_list,
+        }
+        return {
+            kind: following.Follower(
+                self._platform,
+                kind,
+                wait_s,
+                following.Handlers(source.on_listing, source.on_changes),
+            )
+            for kind, source in sources.items()
+        }
+
+    def _share_connections(self, routes: table.RouteTable) -> None:
+        self._registry.share_connections(
+            routes.connection_limits, self._settings.instance_count_assumed
+        )
+
+    def _is_ready(self) -> bool:
+        return (
+            not self._is_leaving
+            and self._routes.current is not None
+            and self._target_list.is_known
+        )
+
+    def _limits(self) -> table.CallerLimits:
+        routes = self._routes.current
+        return table.CallerLimits() if routes is None else routes.limits
+
+    async def run(self) -> int:
+        """Serves until SIGTERM and stops without cutting a request.
+
+        Returns:
+          Exit code.
+        """
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._on_stop_signal)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self._platform.close)
+            server = server_lib.GatewayServer(
+                self._handler, self._limits, self._settings.caller_address
+            )
+            for follower in self._followers.values():
+                stack.callback(asyncio.create_task(follower.run()).cancel)
+            await self._start_side_servers(stack)
+            await server.start()
+            _LOG.info("started", settings=str(self._settings_path))
+            await self._stop_requested.wait()
+            self._is_leaving = True
+            await stopping.run(server, self._settings.grace_limit_s)
+        return 0
+
+    def _on_stop_signal(self) -> None:
+        _LOG.info("stopping", grace_limit_s=self._settings.grace_limit_s)
+        self._stop_requested.set()
+
+    async def _start_side_servers(
+        self, stack: contextlib.AsyncExitStack
+    ) -> None:
+        health = aiohttp.web.Application()
+        health.add_routes(health_routes.routes(self._is_ready))
+        operations_app = operations.build(self._metrics_text, self.dump)
+        for app, address in (
+            (health, self._settings.readiness_address),
+            (operations_app, self._settings.operator_address),
+        ):
+            runner = aiohttp.web.AppRunner(app, access_log=None)
+            await runner.setup()
+            stack.push_async_callback(runner.cleanup)
+            host, _, port = address.rpartition(":")
+            await aiohttp.web.TCPSite(runner, host, int(port)).start()
+
+    def _reload(self) -> None:
+        """Reads the settings again; only the log level changes at run time."""
+        try:
+            loaded = gateway_settings.load(self._settings_path.read_bytes())
+        except (OSError, exceptions.DocumentError) as error:
+            _LOG.error("reload_failed", error=str(error))
+            return
+        logs.set_level(loaded.log_level)
+        needs_restart = [
+            key
+            for key, value in vars(loaded).items()
+            if key != "log_level" and value != getattr(self._settings, key)
+        ]
+        _LOG.info("reloaded", needs_restart=needs_restart)
+
+    def _metrics_text(self) -> str:
+        found = operations.families(
+            self._log,
+            self._registry,
+            self._platform.call_counts,
+            self._stream.dropped_count,
+        )
+        return exposition.write_families(found) + exposition.write_latencies(
+            "lycheerock_gateway_request_duration_seconds",
+            "route",
+            self._log.latencies,
+            self._log.latency_sums_s,
+        )
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the state of the process as JSON values."""
+        now_s = time.monotonic()
+        routes = self._routes.current
+        return {
+            "instance_id": self._settings.instance_id,
+            "uptime_s": round(now_s - self._started_s, 1),
+            "is_ready": self._is_ready(),
+            "is_leaving": self._is_leaving,
+            "configuration_version": routes.version if routes else None,
+            "store": {
+                kind: {
+                    "is_connected": follower.is_connected,
+                    "confirmed_age_ms": round(
+                        (now_s - follower.confirmed_s) * 1000
+                    ),
+                }
+                for kind, follower in self._followers.items()
+            },
+            "targets": operations.describe_targets(self._registry),
+            "platform_calls": dict(self._platform.call_counts),
+        }
--- a/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/daemon.py
@@ -51,6 +51,11 @@
 PEER_CALLS_GRACE_S = 2.0
 
 
+async def run(settings: settings_lib.Settings) -> int:
+    """Runs an instance until it is stopped and returns its exit code."""
+    return await Daemon(settings).run()
+
+
 class Daemon:
     """All parts of one process."""
 
--- a/packages/daemon/src/lycheerock/_internal/lifecycle/logs.py
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/logs.py
@@ -6,6 +6,7 @@
 import re
 import sys
 import types
+from typing import TextIO
 
 import structlog
 
@@ -21,19 +22,25 @@
 
 
 def configure(
-    level: str, instance_id: str, zone: str, secrets: Iterable[str] = ()
+    level: str,
+    instance_id: str,
+    zone: str,
+    secrets: Iterable[str] = (),
+    stream: TextIO | None = None,
 ) -> None:
     """Sets up the log of the process.
 
     Lines of libraries, Python warnings and uncaught exceptions go through the
-    same log, so that stderr holds only JSON lines.
+    same log, so that the stream holds only JSON lines.
 
     Args:
       level: Least severe level that is logged.
       instance_id: Instance named in each line.
       zone: Availability zone named in each line.
       secrets: Texts that never appear in a line.
+      stream: Where lines are written; standard error if None.
     """
+    stream = stream or sys.stderr
     shared: list[structlog.types.Processor] = [
         structlog.contextvars.merge_contextvars,
         _add_origin(instance_id, zone),
@@ -47,11 +54,11 @@
     ]
     structlog.configure(
         processors=[*shared, *render],
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(stream),
         wrapper_class=structlog.make_filtering_bound_logger(_LEVELS[level]),
         cache_logger_on_first_use=False,
     )
-    _configure_libraries(level, shared, render)
+    _configure_libraries(level, shared, render, stream)
     sys.excepthook = _log_uncaught
 
 
@@ -59,8 +66,9 @@
     level: str,
     shared: list[structlog.types.Processor],
     render: list[structlog.types.Processor],
+    stream: TextIO,
 ) -> None:
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(stream)
     handler.setFormatter(
         structlog.stdlib.ProcessorFormatter(
             foreign_pre_chain=[structlog.stdlib.add_logger_name, *shared],
--- a/packages/daemon/src/lycheerock/_internal/operator/exposition.py
+++ b/packages/daemon/src/lycheerock/_internal/operator/exposition.py
@@ -51,10 +51,22 @@
     Returns:
       Text in the exposition format.
     """
+    sums_s = {name: c.elapsed_s for name, c in metrics.counts.items()}
+    return write_families(
+        (*_request_families(metrics), *families)
+    ) + write_latencies(
+        "lycheerock_request_duration_seconds",
+        "service",
+        metrics.latencies,
+        sums_s,
+    )
+
+
+def write_families(families: Iterable[Family]) -> str:
+    """Writes metrics in the exposition format."""
     lines: list[str] = []
-    for family in (*_request_families(metrics), *families):
+    for family in families:
         lines.extend(_family_lines(family))
-    lines.extend(_latency_lines(metrics))
     return "\n".join(lines) + "\n"
 
 
@@ -128,21 +140,35 @@
         yield f"{family.name}{_label_text(labels)} {_number_text(value)}"
 
 
-def _latency_lines(metrics: metrics_lib.RequestMetrics) -> Iterator[str]:
-    name = "lycheerock_request_duration_seconds"
-    yield f"# HELP {name} Time from receipt to answer of caller requests."
-    yield f"# TYPE {name} histogram"
-    for service, latency in sorted(metrics.latencies.items()):
+def write_latencies(
+    name: str,
+    label: str,
+    latencies: Mapping[str, histogram.HdrHistogram],
+    sums_s: Mapping[str, float],
+) -> str:
+    """Writes latency histograms in the exposition format.
+
+    Args:
+      name: Name of the metric.
+      label: Name of the label that tells the histograms apart.
+      latencies: Histograms of microseconds by label value.
+      sums_s: Sum of the latencies by label value.
+    """
+    lines = [
+        f"# HELP {name} Time from receipt to answer of caller requests.",
+        f"# TYPE {name} histogram",
+    ]
+    for value, latency in sorted(latencies.items()):
         total = latency.get_total_count()
         for bound_s, count in _cumulative_counts(latency):
-            labels = {"service": service, "le": _number_text(bound_s)}
-            yield f"{name}_bucket{_label_text(labels)} {count}"
-        labels = {"service": service, "le": "+Inf"}
-        yield f"{name}_bucket{_label_text(labels)} {total}"
-        service_text = _label_text({"service": service})
-        elapsed_s = metrics.counts[service].elapsed_s
-        yield f"{name}_sum{service_text} {_number_text(elapsed_s)}"
-        yield f"{name}_count{service_text} {total}"
+            labels = {label: value, "le": _number_text(bound_s)}
+            lines.append(f"{name}_bucket{_label_text(labels)} {count}")
+        infinite = _label_text({label: value, "le": "+Inf"})
+        lines.append(f"{name}_bucket{infinite} {total}")
+        text = _label_text({label: value})
+        lines.append(f"{name}_sum{text} {_number_text(sums_s[value])}")
+        lines.append(f"{name}_count{text} {total}")
+    return "\n".join(lines) + "\n"
 
 
 def _cumulative_counts(
--- a/packages/daemon/src/lycheerock/_internal/platform/__init__.py
+++ b/packages/daemon/src/lycheerock/_internal/platform/__init__.py
@@ -1,1 +1,5 @@
-"""Client of the platform's object API."""
+"""The platform's names, formats and calls.
+
+Nothing here decides anything: names of the wire are decoded once into the
+project's own types, and calls return what the platform answered.
+"""
--- a/packages/daemon/src/lycheerock/_internal/platform/client.py
+++ b/packages/daemon/src/lycheerock/_internal/platform/client.py
@@ -1,4 +1,8 @@
-"""Client of the platform's object API."""
+"""Client of the platform's object API.
+
+The store keeps objects by kind and name. Each change raises one revision
+counter of the whole store; a watch returns what changed after a revision.
+"""
 
 import asyncio
 import collections
@@ -10,24 +14,101 @@
 import aiohttp
 import msgspec
 from returns import result
+import structlog
 
 from lycheerock._internal.platform import backoff as backoff_lib
 from lycheerock_model import exceptions
 
+_LOG = structlog.get_logger()
+
 CALL_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
-# Longer than the platform holds a watch that sees no change.
-WATCH_TIMEOUT_S = 45.0
+# The platform holds a watch that sees no change for up to 30 s.
+WATCH_TIMEOUT_S = 30.0
+# Time beyond the wait in which the end of a watch must arrive.
+WATCH_MARGIN_S = 0.7
+# Own kind of object: one for each instance.
+INSTANCE_KIND = "instances"
 RESOLVE_ATTEMPTS_MAX = 4
 NONCE_BYTES = 12
 
 
 @dataclasses.dataclass(frozen=True)
 class Object:
-    """A value at the platform and its version."""
+    """A value at the platform and the revision of its last change."""
+
+    version: int
+    value: Any
+
+
+@dataclasses.dataclass(frozen=True)
+class Listing:
+    """All objects of a kind.
+
+    Attributes:
+      values: Content by name.
+      revision: Revision from which a watch continues.
+    """
+
+    values: Mapping[str, Any]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """A change of one object.
 
+    Attributes:
+      name: Name of the object.
+      version: Revision of the change.
+      value: New content; the last one if the object was removed.
+      is_removed: Whether it was removed.
+    """
+
+    name: str
     version: int
     value: Any
+    is_removed: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Changes:
+    """What a watch returned.
+
+    Attributes:
+      changes: Changes in order; empty if the wait ended without any.
+      revision: Revision from which the next watch continues.
+    """
+
+    changes: tuple[Change, ...]
+    revision: int
+
+
+class _WireMeta(msgspec.Struct):
+    name: str
+    # Revision of the store at the object's last change.
+    revision: int = 0
+
+
+class _WireObject(msgspec.Struct):
+    meta: _WireMeta
+    spec: Any = None
+
+
+class _WireList(msgspec.Struct):
+    items: list[Any]
+    at_rev: int
+    more: bool = False
+
+
+class _WireEvent(msgspec.Struct):
+    object: Any
+    removed: bool = False
+
+
+class _WireEvents(msgspec.Struct):
+    events: list[_WireEvent]
+    at_rev: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -83,7 +164,7 @@
           The object, None if there is none, or a PlatformError.
         """
         self.call_counts["get"] += 1
-        return await self._read(kind, name, {}, CALL_TIMEOUT_S)
+        return await self._read(kind, name)
 
     async def watch(self, kind: str, name: str, after_version: int) -> Found:
         """Waits for a version of an object above `after_version`.
@@ -98,62 +179,126 @@
           none; or a PlatformError.
         """
         self.call_counts["watch"] += 1
-        params = {"watch_after": str(after_version)}
-        return await self._read(kind, name, params, WATCH_TIMEOUT_S)
-
-    async def _read(
-        self, kind: str, name: str, params: Mapping[str, str], timeout_s: float
-    ) -> Found:
+        changes = await self.changes(
+            kind, after_version, WATCH_TIMEOUT_S - WATCH_MARGIN_S
+        )
+        if isinstance(changes, result.Success):
+            for change in reversed(changes.unwrap().changes):
+                if change.name == name and not change.is_removed:
+                    return result.Success(Object(change.version, change.value))
+        elif not isinstance(changes.failure(), exceptions.HistoryGoneError):
+            return result.Failure(changes.failure())
+        return await self._read(kind, name)
+
+    async def _read(self, kind: str, name: str) -> Found:
         url = f"{self._base_url}/objects/{kind}/{name}"
+        try:
+            async with self._session.get(url) as response:
+                if response.status == 404:
+                    return result.Success(None)
+                response.raise_for_status()
+                return result.Success(_decode(await response.read()))
+        except _CALL_ERRORS as error:
+            return result.Failure(_unavailable(f"reading {kind}/{name}", error))
+
+    async def list_objects(
+        self, kind: str
+    ) -> result.Result[Listing, exceptions.PlatformError]:
+        """Reads all objects of a kind, page by page.
+
+        Args:
+          kind: Kind of the objects.
+
+        Returns:
+          The objects, or a PlatformError. Changes made between two pages are
+          returned again by a watch from the listing's revision.
+        """
+        values: dict[str, Any] = {}
+        revision = 0
+        after = ""
+        while True:
+            self.call_counts["list"] += 1
+            page = await self._list_page(kind, after)
+            if isinstance(page, result.Failure):
+                return page
+            wire = page.unwrap()
+            revision = revision or wire.at_rev
+            found = [o for o in map(_read_object, wire.items) if o is not None]
+            values.update((o.meta.name, o.spec) for o in found)
+            if not wire.more or not found:
+                return result.Success(Listing(values, revision))
+            after = found[-1].meta.name
+
+    async def _list_page(
+        self, kind: str, after: str
+    ) -> result.Result[_WireList, exceptions.PlatformError]:
+        url = f"{self._base_url}/objects/{kind}"
+        params = {"after": after} if after else {}
+        try:
+            async with self._session.get(url, params=params) as response:
+                response.raise_for_status()
+                body = await response.read()
+                return result.Success(msgspec.json.decode(body, type=_WireList))
+        except _CALL_ERRORS as error:
+            return result.Failure(_unavailable(f"listing {kind}", error))
+
+    async def changes(
+        self, kind: str, after_revision: int, wait_s: float
+    ) -> result.Result[Changes, exceptions.PlatformError]:
+        """Waits for changes of a kind.
+
+        Args:
+          kind: Kind of the objects.
+          after_revision: Revision that the caller knows.
+          wait_s: Longest time to wait for a change.
+
+        Returns:
+          The changes, none if the wait ended without any; a HistoryGoneError
+          if they are no longer known; or another PlatformError.
+        """
+        url = f"{self._base_url}/objects/{kind}"
+        params = {
+            "watch": str(after_revision),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
         timeout = aiohttp.ClientTimeout(
-            total=timeout_s, connect=CONNECT_TIMEOUT_S
+            total=wait_s + WATCH_MARGIN_S, connect=CONNECT_TIMEOUT_S
         )
         try:
             async with self._session.get(
                 url, params=params, timeout=timeout
             ) as response:
-                if response.status == 404:
-                    return result.Success(None)
+                if response.status == 410:
+                    return result.Failure(_history_gone(kind, after_revision))
                 response.raise_for_status()
-                return result.Success(_decode(await response.read()))
+                body = await response.read()
         except _CALL_ERRORS as error:
-            return result.Failure(_unavailable(f"reading {kind}/{name}", error))
+            return result.Failure(_unavailable(f"watching {kind}", error))
+        return _decode_events(kind, body)
 
     async def list_names(
         self, kind: str
     ) -> result.Result[tuple[str, ...], exceptions.PlatformError]:
         """Returns the names of all objects of a kind, or a PlatformError."""
-        self.call_counts["list"] += 1
-        found = await self._get_json(f"/objects/{kind}")
-        return found.map(lambda body: tuple(body["names"]))
+        found = await self.list_objects(kind)
+        return found.map(lambda listing: tuple(sorted(listing.values)))
 
     async def list_instances(
         self,
     ) -> result.Result[tuple[ListedInstance, ...], exceptions.PlatformError]:
-        """Returns the platform's list of instances, or a PlatformError."""
-        self.call_counts["list_instances"] += 1
-        found = await self._get_json("/instances")
+        """Returns the instances that are listed, or a PlatformError."""
+        found = await self.list_objects(INSTANCE_KIND)
         if isinstance(found, result.Failure):
             return found
+        values = list(found.unwrap().values.values())
         try:
-            entries = msgspec.convert(
-                found.unwrap()["instances"], tuple[ListedInstance, ...]
+            entries = msgspec.convert(values, tuple[ListedInstance, ...])
+        except msgspec.ValidationError as error:
+            return result.Failure(
+                _unavailable(f"reading {INSTANCE_KIND}", error)
             )
-        except (msgspec.ValidationError, KeyError, TypeError) as error:
-            return result.Failure(_unavailable("reading /instances", error))
         return result.Success(entries)
 
-    async def _get_json(
-        self, path: str
-    ) -> result.Result[Any, exceptions.PlatformError]:
-        try:
-            async with self._session.get(self._base_url + path) as response:
-                response.raise_for_status()
-                body = msgspec.json.decode(await response.read())
-        except _CALL_ERRORS as error:
-            return result.Failure(_unavailable(f"reading {path}", error))
-        return result.Success(body)
-
     async def create(
         self, kind: str, name: str, value: Mapping[str, Any]
     ) -> Written:
@@ -214,11 +359,23 @@
         self, kind: str, name: str, body: bytes, if_version: int, nonce: str
     ) -> Written:
         self.call_counts["create" if if_version == 0 else "update"] += 1
-        url = f"{self._base_url}/objects/{kind}/{name}"
-        params = {"if_version": str(if_version)}
+        document = msgspec.json.encode(
+            {
+                "meta": {"name": name, "revision": if_version, "finalizers": []}
+                if if_version
+                else {"name": name},
+                "spec": msgspec.Raw(body),
+            }
+        )
+        method, path = (
+            ("PUT", f"{kind}/{name}") if if_version else ("POST", kind)
+        )
         try:
-            async with self._session.put(
-                url, params=params, data=body
+            async with self._session.request(
+                method,
+                f"{self._base_url}/objects/{path}",
+                data=document,
+                headers=_JSON,
             ) as response:
                 if response.status == 409:
                     stored = _decode(await response.read())
@@ -238,7 +395,9 @@
             )
 
 
-_CALL_ERRORS = (TimeoutError, aiohttp.ClientError, msgspec.DecodeError)
+_JSON = {"Content-Type": "application/json"}
+
+_CALL_ERRORS = (TimeoutError, aiohttp.ClientError, OSError, msgspec.DecodeError)
 
 
 def new_nonce() -> str:
@@ -280,5 +439,40 @@
     )
 
 
+def _history_gone(
+    kind: str, after_revision: int
+) -> exceptions.HistoryGoneError:
+    return exceptions.HistoryGoneError(
+        f"the platform no longer knows the changes of {kind} after revision "
+        f"{after_revision}",
+        "list the objects and watch from the listing's revision",
+    )
+
+
 def _decode(body: bytes) -> Object:
-    return msgspec.json.decode(body, type=Object)
+    wire = msgspec.json.decode(body, type=_WireObject)
+    return Object(wire.meta.revision, wire.spec)
+
+
+def _read_object(item: Any) -> _WireObject | None:
+    """Decodes an object of a list or an event; None if it is unreadable."""
+    try:
+        return msgspec.convert(item, _WireObject)
+    except msgspec.ValidationError as error:
+        _LOG.warning("store_object_unreadable", error=str(error))
+        return None
+
+
+def _decode_events(
+    kind: str, body: bytes
+) -> result.Result[Changes, exceptions.PlatformError]:
+    try:
+        wire = msgspec.json.decode(body, type=_WireEvents)
+    except msgspec.DecodeError as error:
+        return result.Failure(_unavailable(f"watching {kind}", error))
+    changes = tuple(
+        Change(o.meta.name, o.meta.revision, o.spec, event.removed)
+        for event in wire.events
+        if (o := _read_object(event.object)) is not None
+    )
+    return result.Success(Changes(changes, wire.at_rev))
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/platform/configuration.py
@@ -0,0 +1,110 @@
+"""Decodes the operators' configuration as the store holds it."""
+
+from typing import Any
+
+import msgspec
+
+from lycheerock._internal.routing import table
+from lycheerock_model import exceptions
+
+KIND = "config"
+NAME = "main"
+
+
+class _WireSplit(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _WireRoute(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    # "safe" is idempotent; every other kind is treated as not idempotent.
+    kind: str
+    timeout_ms: float
+    slo_ms: float
+    max_attempts: int = 1
+    service: str | None = None
+    split: list[_WireSplit] | None = None
+    gather: list[str] | None = None
+    top_k: int = 0
+    min_shard_share: float = 0.0
+
+
+class _WireService(msgspec.Struct):
+    name: str
+    # Shared by all callers of a target, so by all instances together.
+    max_conns: int
+
+
+class _WireLimits(msgspec.Struct):
+    # Bounds the request line and each header.
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+    idle_timeout_ms: float = 15_000.0
+
+
+class _WireConfiguration(msgspec.Struct):
+    version: int
+    routes: list[_WireRoute]
+    services: list[_WireService]
+    limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+
+
+def decode(spec: Any) -> table.RouteTable:
+    """Decodes a configuration.
+
+    Args:
+      spec: Content of the store's object.
+
+    Returns:
+      The route table.
+
+    Raises:
+      DocumentError: The content is not a configuration.
+    """
+    try:
+        wire = msgspec.convert(spec, _WireConfiguration)
+    except msgspec.ValidationError as error:
+        fault = exceptions.Fault(
+            f"{KIND}/{NAME}", str(error), "write a valid configuration"
+        )
+        raise exceptions.DocumentError(f"{KIND}/{NAME}", (fault,)) from error
+    return table.RouteTable(
+        wire.version,
+        tuple(_decode_route(route) for route in wire.routes),
+        {service.name: service.max_conns for service in wire.services},
+        table.CallerLimits(
+            wire.limits.max_header_bytes,
+            wire.limits.max_body_bytes,
+            wire.limits.idle_timeout_ms / 1000,
+        ),
+    )
+
+
+def _decode_route(wire: _WireRoute) -> table.Route:
+    scatter = None
+    services: tuple[table.WeightedService, ...] = ()
+    if wire.gather is not None:
+        scatter = table.ScatterRule(
+            tuple(wire.gather), wire.top_k, wire.min_shard_share
+        )
+    elif wire.split:
+        services = tuple(
+            table.WeightedService(part.service, part.weight)
+            for part in wire.split
+        )
+    elif wire.service is not None:
+        services = (table.WeightedService(wire.service, 1.0),)
+    return table.Route(
+        wire.name,
+        wire.host.lower(),
+        wire.path_prefix,
+        wire.kind == "safe",
+        wire.timeout_ms / 1000,
+        wire.slo_ms / 1000,
+        max(1, wire.max_attempts),
+        services,
+        scatter,
+    )
--- a/packages/daemon/src/lycheerock/_internal/query/budgets.py
+++ b/packages/daemon/src/lycheerock/_internal/query/budgets.py
@@ -20,9 +20,9 @@
 class TokenBucket:
     """Tokens for extra requests, filled by a share of first attempts."""
 
-    def __init__(self, ratio: float, shard_count: int):
+    def __init__(self, ratio: float, capacity: float):
         self._ratio = ratio
-        self._capacity = _capacity(ratio, shard_count)
+        self._capacity = capacity
         self._tokens = min(TOKENS_MIN, self._capacity)
 
     def has_token(self, *, for_hedge: bool) -> bool:
@@ -31,10 +31,10 @@
         kept = HEDGE_RESERVE_RATIO * self._capacity if for_hedge else 0.0
         return self._tokens >= 1.0 + kept
 
-    def resize(self, ratio: float, shard_count: int) -> None:
-        """Takes the settings of a new bundle; saved tokens stay."""
+    def resize(self, ratio: float, capacity: float) -> None:
+        """Takes new settings; saved tokens stay up to the capacity."""
         self._ratio = ratio
-        self._capacity = _capacity(ratio, shard_count)
+        self._capacity = capacity
         self._tokens = min(self._tokens, self._capacity)
 
     def add_first_attempts(self, count: int) -> None:
@@ -50,7 +50,8 @@
         return True
 
 
-def _capacity(ratio: float, shard_count: int) -> float:
+def capacity_for(ratio: float, shard_count: int) -> float:
+    """Returns the tokens that a service with so many shards may save up."""
     if ratio <= 0.0:
         return 0.0
     # Two searches' worth, so that the hedges of one do not starve the next.
--- a/packages/daemon/src/lycheerock/_internal/query/service_states.py
+++ b/packages/daemon/src/lycheerock/_internal/query/service_states.py
@@ -21,7 +21,7 @@
         self.versions = versions.VersionTable()
         self.versions.apply(service.shard_maps)
         self.bucket = budgets.TokenBucket(
-            service.hedge_ratio, _shard_count(service)
+            service.hedge_ratio, _token_capacity(service)
         )
         self.hedge_delay = budgets.HedgeDelay()
         self.last_said: dict[str, tuple[int, int, str]] = {}
@@ -33,7 +33,7 @@
         self._service = service
         self.last_said.clear()
         self.versions.apply(service.shard_maps)
-        self.bucket.resize(service.hedge_ratio, _shard_count(service))
+        self.bucket.resize(service.hedge_ratio, _token_capacity(service))
 
 
 class ServiceStates:
@@ -61,5 +61,6 @@
         return state
 
 
-def _shard_count(service: bundle_lib.Service) -> int:
-    return max(len(m.shards) for m in service.shard_maps)
+def _token_capacity(service: bundle_lib.Service) -> float:
+    shard_count = max(len(m.shards) for m in service.shard_maps)
+    return budgets.capacity_for(service.hedge_ratio, shard_count)
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routes of the gateway and how a request finds its service."""
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/targets/__init__.py
@@ -0,0 +1,1 @@
+"""What the instance knows of targets and which one it sends to."""
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/targets/evidence.py
@@ -0,0 +1,138 @@
+"""What this instance has seen of one target."""
+
+import dataclasses
+
+# Weight of the newest reply in the slowness of a target. One slow reply, such
+# as a garbage collection pause, moves the mean without deciding it.
+SAMPLE_WEIGHT = 0.3
+
+# A reply counts as at most this many times the usual latency, so that a pause
+# does not keep a target out for long.
+SAMPLE_MAX = 6.0
+
+# Slowness decays towards the expectation with this time constant, so that a
+# target which is no longer chosen is tried again.
+DECAY_S = 4.0
+
+# Time for which a target is left alone after failures in a row: the first
+# failure of an otherwise good target is tolerated, then the time doubles.
+EJECTION_BASE_S = 0.4
+EJECTION_MAX_S = 6.0
+FAILURES_TOLERATED = 1
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Flight:
+    """A request that a target has not answered yet.
+
+    Attributes:
+      start_s: Monotonic time of the start.
+      usual_s: Usual latency of such a request at the service.
+    """
+
+    start_s: float
+    usual_s: float
+
+
+class Evidence:
+    """Latency, failures and requests in flight of one target."""
+
+    def __init__(self, expected_slowness: float) -> None:
+        self._expected = expected_slowness
+        self._slowness = expected_slowness
+        self._sample_s = 0.0
+        self._failures_in_row = 0
+        self._failure_ratio = 0.0
+        self.ejected_until_s = 0.0
+        self.flights: dict[int, Flight] = {}
+        self._next_flight = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Requests without an answer."""
+        return len(self.flights)
+
+    def started(self, now_s: float, usual_s: float) -> int:
+        """Counts a request that is sent.
+
+        Args:
+          now_s: Monotonic time.
+          usual_s: Usual latency of such a request at the service.
+
+        Returns:
+          Number of the flight, for `answered`, `failed` or `dropped`.
+        """
+        self._next_flight += 1
+        self.flights[self._next_flight] = Flight(now_s, usual_s)
+        return self._next_flight
+
+    def answered(self, flight_number: int, now_s: float) -> None:
+        """Takes a reply."""
+        self._sample(flight_number, now_s)
+        self._failures_in_row = 0
+        self._failure_ratio *= 1.0 - SAMPLE_WEIGHT
+        self.ejected_until_s = 0.0
+
+    def failed(self, flight_number: int, now_s: float) -> None:
+        """Takes a failure: no reply, an unreadable one or an error."""
+        self.flights.pop(flight_number, None)
+        self._failures_in_row += 1
+        self._failure_ratio += SAMPLE_WEIGHT * (1.0 - self._failure_ratio)
+        excess = self._failures_in_row - FAILURES_TOLERATED
+        if excess > 0:
+            pause_s = min(EJECTION_MAX_S, EJECTION_BASE_S * 2 ** (excess - 1))
+            self.ejected_until_s = max(self.ejected_until_s, now_s + pause_s)
+
+    def refused(self, flight_number: int, now_s: float, pause_s: float) -> None:
+        """Takes a refusal because of load.
+
+        Args:
+          flight_number: The request.
+          now_s: Monotonic time.
+          pause_s: Time for which the target is left alone.
+        """
+        self.flights.pop(flight_number, None)
+        self.ejected_until_s = max(self.ejected_until_s, now_s + pause_s)
+
+    def dropped(self, flight_number: int, now_s: float) -> None:
+        """Takes a request that was given up; its age is a lower bound."""
+        flight = self.flights.get(flight_number)
+        if flight is None:
+            return
+        age_s = now_s - flight.start_s
+        if age_s > flight.usual_s * self.slowness(now_s):
+            self._sample(flight_number, now_s)
+        else:
+            del self.flights[flight_number]
+
+    def slowness(self, now_s: float) -> float:
+        """Latency relative to the usual one of the service; decays."""
+        if not self._sample_s:
+            return self._expected
+        age_s = now_s - self._sample_s
+        fresh = max(0.0, 1.0 - age_s / DECAY_S)
+        return self._expected + (self._slowness - self._expected) * fresh
+
+    def overdue_ratio(self, now_s: float) -> float:
+        """Age of the oldest request relative to its usual latency."""
+        return max(
+            (
+                (now_s - flight.start_s) / flight.usual_s
+                for flight in self.flights.values()
+            ),
+            default=0.0,
+        )
+
+    @property
+    def failure_ratio(self) -> float:
+        """Recent share of failures."""
+        return self._failure_ratio
+
+    def _sample(self, flight_number: int, now_s: float) -> None:
+        flight = self.flights.pop(flight_number, None)
+        if flight is None:
+            return
+        ratio = min(SAMPLE_MAX, (now_s - flight.start_s) / flight.usual_s)
+        current = self.slowness(now_s)
+        self._slowness = current + SAMPLE_WEIGHT * (ratio - current)
+        self._sample_s = now_s
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to targets."""
--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/upstream/connection.py
@@ -0,0 +1,249 @@
+"""One HTTP/1.1 connection to a target."""
+
+import asyncio
+import dataclasses
+import socket
+import time
+from typing import cast
+
+import httptools
+
+# Bodies of targets are some kilobytes; a larger one is a fault of the target.
+RESPONSE_SIZE_MAX_BYTES = 8 * 1_048_576
+
+# Sent data that a peer has not acknowledged for this long ends the connection.
+# It is several round trips between regions, and well under the shortest time
+# limit of a route, so that a path that went silent is noticed within a request.
+UNACKNOWLEDGED_MAX_MS = 1_500
+
+# Probes of an idle connection: a silent path is noticed after about three
+# seconds, before the connection is used again.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+
+
+class ConnectionBrokenError(Exception):
+    """The connection ended before the whole response was read."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Response:
+    """A complete response of a target.
+
+    Attributes:
+      status: HTTP status.
+      headers: Names in lower case and values, in order.
+      body: Whole body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    def header(self, name: str) -> str | None:
+        """Returns the first value of a header, given in lower case."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+class Connection(asyncio.Protocol):
+    """Sends one request at a time and reads its response.
+
+    aiohttp's client is not used here: it sends idempotent requests again by
+    itself and takes a body without a length as complete after a reset.
+    """
+
+    def __init__(self, request_id_header: str) -> None:
+        self._request_id_header = request_id_header
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._waiter: asyncio.Future[Response] | None = None
+        self._request_id = ""
+        self._skips_body = False
+        self._headers: list[tuple[str, str]] = []
+        self._body: list[bytes] = []
+        self._body_size_bytes = 0
+        self._has_headers = False
+        self._is_framed = False
+        self._has_eof = False
+        self._is_spent = False
+        self.idle_since_s = time.monotonic()
+        self.idle_limit_s: float | None = None
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # uvloop's transports are no subclass of asyncio's.
+        self._transport = cast(asyncio.Transport, transport)
+        set_socket_options(transport.get_extra_info("socket"))
+
+    def data_received(self, data: bytes) -> None:
+        if self._waiter is None:
+            # A response that nobody asked for; the next one could be mistaken
+            # for it.
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(f"unreadable response: {error}")
+
+    def eof_received(self) -> None:
+        self._has_eof = True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._is_spent = True
+        is_clean = exc is None and self._has_eof
+        if is_clean and self._has_headers and not self._is_framed:
+            self._finish()
+        self._fail("reset" if exc is not None else "closed")
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        self._headers = []
+        self._body = []
+        self._body_size_bytes = 0
+        self._has_headers = False
+        self._is_framed = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        key = name.decode("latin-1").lower()
+        if key in ("content-length", "transfer-encoding"):
+            self._is_framed = True
+        self._headers.append((key, value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        self._has_headers = True
+        if self._skips_body and self._parser.get_status_code() >= 200:
+            self._is_spent = True
+            self._finish()
+
+    def on_body(self, data: bytes) -> None:
+        self._body_size_bytes += len(data)
+        if self._body_size_bytes > RESPONSE_SIZE_MAX_BYTES:
+            self._fail("response too large")
+            return
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        if self._parser.get_status_code() < 200:
+            return
+        if not self._parser.should_keep_alive():
+            self._is_spent = True
+        self._finish()
+
+    # Use by the pool
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether another request may be sent now."""
+        transport = self._transport
+        if self._is_spent or self._has_eof or self._waiter is not None:
+            return False
+        if transport is None or transport.is_closing():
+            return False
+        # The target answered before it had read the whole request.
+        return transport.get_write_buffer_size() == 0
+
+    async def exchange(
+        self, request: bytes, request_id: str, *, is_head: bool = False
+    ) -> Response:
+        """Sends a request and waits for its response.
+
+        Args:
+          request: Complete request.
+          request_id: Id that the target echoes. A response with another id is
+            dropped, since it belongs to an earlier request.
+          is_head: Whether the response has no body whatever its headers say.
+
+        Returns:
+          The complete response.
+
+        Raises:
+          ConnectionBrokenError: The request may have run.
+        """
+        assert self._transport is not None
+        self._waiter = asyncio.get_running_loop().create_future()
+        self._request_id = request_id
+        self._skips_body = is_head
+        self._transport.write(request)
+        try:
+            return await self._waiter
+        finally:
+            if not self._waiter.done() or self._waiter.cancelled():
+                self.close()
+            self._waiter = None
+            self.idle_since_s = time.monotonic()
+
+    def close(self) -> None:
+        """Closes the connection at once; a target drops the request."""
+        self._is_spent = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _finish(self) -> None:
+        waiter = self._waiter
+        if waiter is None or waiter.done():
+            # Bytes after a complete response.
+            self.close()
+            return
+        echoed = next(
+            (v for k, v in self._headers if k == self._request_id_header), None
+        )
+        if echoed is not None and echoed != self._request_id:
+            self._is_spent = True
+            return
+        self._read_keep_alive()
+        waiter.set_result(
+            Response(
+                self._parser.get_status_code(),
+                tuple(self._headers),
+                b"".join(self._body),
+            )
+        )
+
+    def _read_keep_alive(self) -> None:
+        for key, value in self._headers:
+            if key == "keep-alive":
+                self.idle_limit_s = parse_keep_alive_s(value)
+
+    def _fail(self, problem: str) -> None:
+        waiter = self._waiter
+        if waiter is not None and not waiter.done():
+            waiter.set_exception(ConnectionBrokenError(problem))
+        self.close()
+
+
+def parse_keep_alive_s(value: str) -> float | None:
+    """Returns the idle timeout of a Keep-Alive header, or None.
+
+    Args:
+      value: Value of the header, such as "timeout=5, max=100".
+    """
+    for part in value.split(","):
+        name, _, number = part.strip().partition("=")
+        if name.lower() == "timeout" and number.strip().isdigit():
+            return float(number)
+    return None
+
+
+def set_socket_options(connection: socket.socket | None) -> None:
+    """Makes the kernel notice a peer that has gone silent.
+
+    Args:
+      connection: A TCP socket, or None where the loop does not expose it.
+    """
+    if connection is None:
+        return
+    for level, option, value in (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MAX_MS),
+    ):
+        connection.setsockopt(level, option, value)
--- a/packages/model/src/lycheerock_model/exceptions.py
+++ b/packages/model/src/lycheerock_model/exceptions.py
@@ -125,6 +125,10 @@
     kind = ErrorKind.PLATFORM
 
 
+class HistoryGoneError(PlatformError):
+    """The platform no longer knows the changes after a revision."""
+
+
 class NotFoundError(LycheerockError):
     """Nothing is known under that path, name or id."""
 
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -20,7 +20,7 @@
 def run_with_platform(faults: fake_platform.Faults, use: Use) -> None:
     async def run() -> None:
         platform = fake_platform.FakePlatform(seed=1)
-        platform._faults = faults
+        platform.set_faults(faults)
         server = aiohttp.test_utils.TestServer(platform.build())
         await server.start_server()
         client = client_lib.PlatformClient(f"127.0.0.1:{server.port}", "i0")
@@ -93,7 +93,7 @@
                 "create": 1,
                 "get": 1,
                 "watch": 1,
-                "list_instances": 1,
+                "list": 1,
             }
 
         run_with_platform(fake_platform.Faults(), use)
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -111,7 +111,7 @@
         self, ratio: float, searches: list[int]
     ) -> None:
         # Guards against hedges and retries that each have their own budget.
-        bucket = budgets.TokenBucket(ratio, 50)
+        bucket = budgets.TokenBucket(ratio, budgets.capacity_for(ratio, 50))
         first_count = extra_count = 0
         for count in searches:
             bucket.add_first_attempts(count)
@@ -122,7 +122,7 @@
 
     def test_hedges_leave_tokens_to_retries(self) -> None:
         # Guards against hedges whose cost is shards that cannot be retried.
-        bucket = budgets.TokenBucket(0.05, 6)
+        bucket = budgets.TokenBucket(0.05, budgets.capacity_for(0.05, 6))
         while bucket.has_token(for_hedge=True):
             assert bucket.take()
         assert bucket.has_token(for_hedge=False)
