--- a/packages/daemon/src/lycheerock/__main__.py
+++ b/packages/daemon/src/lycheerock/__main__.py
@@ -6,7 +6,6 @@
 import sys
 
 import aiomisc
-import defopt
 
 from lycheerock._internal.lifecycle import logs
 from lycheerock_model import documents
@@ -90,6 +89,11 @@
 
 def main() -> None:
     """Entry point of the `lycheerock` binary."""
+    if len(sys.argv) == 1 and SETTINGS_VARIABLE in os.environ:
+        # An instance that restarts after a failure serves a tenth of a second
+        # earlier without the library for the command line.
+        sys.exit(run())
+    defopt = importlib.import_module("defopt")
     sys.exit(defopt.run(run, cli_options="kwonly", short={}))
 
 
--- a/packages/daemon/src/lycheerock/_internal/discovery/routes.py
+++ b/packages/daemon/src/lycheerock/_internal/discovery/routes.py
@@ -1,6 +1,8 @@
 """Applies the operators' configuration to the gateway."""
 
+import asyncio
 from collections.abc import Callable
+import contextlib
 from typing import Any
 
 import structlog
@@ -18,8 +20,24 @@
 
     def __init__(self) -> None:
         self._subscribers: list[Callable[[table.RouteTable], None]] = []
+        self._known = asyncio.Event()
         self.current: table.RouteTable | None = None
 
+    async def wait_known(self, limit_s: float) -> table.RouteTable | None:
+        """Waits for the first table.
+
+        Args:
+          limit_s: Longest time to wait.
+
+        Returns:
+          The newest table, or None if none came in time.
+        """
+        if self.current is None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(limit_s):
+                    await self._known.wait()
+        return self.current
+
     def subscribe(self, apply: Callable[[table.RouteTable], None]) -> None:
         """Calls `apply` with each new table."""
         self._subscribers.append(apply)
@@ -51,6 +69,7 @@
                 )
             return
         self.current = found
+        self._known.set()
         _LOG.info(
             "configuration_in_force",
             version=found.version,
--- a/packages/daemon/src/lycheerock/_internal/gateway/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/daemon.py
@@ -98,7 +98,7 @@
         self._is_leaving = False
         self._stop_requested = asyncio.Event()
         self._handler = handler_lib.Handler(
-            lambda: self._routes.current,
+            self._routes.wait_known,
             delivery_lib.Deliverer(
                 self._registry,
                 self._budgets,
@@ -155,13 +155,14 @@
         """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._on_stop_signal)
+            loop.add_signal_handler(number, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(self._platform.close)
             server = server_lib.GatewayServer(
                 self._handler, self._limits, self._settings.caller_address
             )
+            stack.push_async_callback(server.close)
             for follower in self._followers.values():
                 stack.callback(asyncio.create_task(follower.run()).cancel)
             await self._start_side_servers(stack)
@@ -172,7 +173,8 @@
             await stopping.run(server, self._settings.grace_limit_s)
         return 0
 
-    def _on_stop_signal(self) -> None:
+    def request_stop(self) -> None:
+        """Begins the planned stop; `run` returns when it is done."""
         _LOG.info("stopping", grace_limit_s=self._settings.grace_limit_s)
         self._stop_requested.set()
 
--- a/packages/daemon/src/lycheerock/_internal/gateway/handler.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/handler.py
@@ -1,6 +1,7 @@
 """Serves one request of a caller."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
 import time
@@ -20,6 +21,11 @@
 
 _READ_CHUNK_BYTES = 65_536
 
+# An instance that has just started reads its configuration in a few round trips
+# to the store. Requests wait that long, since all other instances may be
+# starting too; if the store does not answer, they are refused.
+STARTING_WAIT_S = 0.1
+
 
 class _RefusedError(Exception):
     """A request that is answered without a target.
@@ -60,12 +66,12 @@
 
     def __init__(
         self,
-        current_table: Callable[[], table.RouteTable | None],
+        wait_for_table: Callable[[float], Awaitable[table.RouteTable | None]],
         deliverer: delivery_lib.Deliverer,
         log: request_log.RequestLog,
         is_leaving: Callable[[], bool],
     ) -> None:
-        self._current_table = current_table
+        self._wait_for_table = wait_for_table
         self._deliverer = deliverer
         self._log = log
         self._is_leaving = is_leaving
@@ -113,7 +119,7 @@
     async def _answer(
         self, request: aiohttp.web.BaseRequest, entry: request_log.Entry
     ) -> Answer:
-        routes = self._current_table()
+        routes = await self._wait_for_table(STARTING_WAIT_S)
         if routes is None:
             raise _RefusedError(
                 503, "no_configuration", refusals.STARTING_RETRY_AFTER_S
--- a/packages/daemon/src/lycheerock/_internal/gateway/server.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import socket
+from typing import Any
 
 import aiohttp.web
 
@@ -17,6 +18,27 @@
 IDLE_EXTRA_RATIO = 1.5
 
 
+class CallerConnection(aiohttp.web.RequestHandler):
+    """A caller's connection that knows whether it owes an answer.
+
+    Attributes:
+      owes_answer: Whether bytes have come in since the last answer. aiohttp
+        starts the handler of a request one turn of the loop after it has read
+        the request, so a list of running handlers would miss it.
+    """
+
+    __slots__ = ("owes_answer",)
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.owes_answer = False
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes of requests."""
+        self.owes_answer = True
+        super().data_received(data)
+
+
 class GatewayServer:
     """Owns the listening socket and the callers' connections."""
 
@@ -31,8 +53,9 @@
         # A caller that leaves cancels its handler, which drops the requests at
         # the targets.
         self._server = aiohttp.web.Server(
-            handler.handle, handler_cancellation=True
+            self._serve, handler_cancellation=True
         )
+        self._handler = handler
         self._socket = socket.create_server((host, int(port)), backlog=BACKLOG)
         self._socket.setblocking(False)
         self._listener: asyncio.Server | None = None
@@ -48,9 +71,19 @@
             self._open, sock=self._socket.dup(), backlog=BACKLOG
         )
 
-    def _open(self) -> aiohttp.web.RequestHandler:
+    async def _serve(
+        self, request: aiohttp.web.BaseRequest
+    ) -> aiohttp.web.StreamResponse:
+        try:
+            return await self._handler.handle(request)
+        finally:
+            connection = request.protocol
+            assert isinstance(connection, CallerConnection)
+            connection.owes_answer = False
+
+    def _open(self) -> CallerConnection:
         limits = self._current_limits()
-        return aiohttp.web.RequestHandler(
+        return CallerConnection(
             self._server,
             loop=asyncio.get_running_loop(),
             keepalive_timeout=IDLE_EXTRA_RATIO * limits.idle_timeout_s,
@@ -81,9 +114,21 @@
             await loop.connect_accepted_socket(self._open, connection)
 
     def close_idle(self) -> None:
-        """Closes idle connections; the others close after their request."""
-        self._server.pre_shutdown()
+        """Closes the connections that owe no answer.
+
+        What was written is still sent. aiohttp's own `pre_shutdown` is no
+        substitute: it stops reading from idle connections but leaves them open,
+        so that a caller waits for an answer until its deadline.
+        """
+        for connection in self._server.connections:
+            assert isinstance(connection, CallerConnection)
+            if not connection.owes_answer:
+                connection.force_close()
 
     async def close(self) -> None:
         """Ends all connections at once."""
-        await self._server.shutdown(timeout=0.0)
+        if self._listener is not None:
+            self._listener.close()
+        for connection in self._server.connections:
+            # aiohttp's `shutdown` waits 15 s for each idle connection.
+            connection.force_close()
--- a/packages/daemon/src/lycheerock/_internal/gateway/stopping.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/stopping.py
@@ -16,6 +16,9 @@
 # Time before the forced end at which requests that still run are cut.
 END_MARGIN_S = 0.6
 
+# Time for the first request on a connection that was accepted last.
+FIRST_REQUEST_S = 0.3
+
 _POLL_S = 0.05
 
 
@@ -32,8 +35,9 @@
     end_s = start_s + max(0.0, grace_limit_s - END_MARGIN_S)
     await asyncio.sleep(min(BALANCER_NOTICE_S, grace_limit_s / 2))
     await server.close_listener()
-    server.close_idle()
+    await asyncio.sleep(FIRST_REQUEST_S)
     while server.connection_count and time.monotonic() < end_s:
+        server.close_idle()
         await asyncio.sleep(_POLL_S)
     _LOG.info(
         "stopped",
--- a/packages/daemon/src/lycheerock/_internal/lifecycle/logs.py
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/logs.py
@@ -81,6 +81,8 @@
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(_LEVELS[level])
+    # The project's own line of a request says more than the access log.
+    logging.getLogger("aiohttp.access").setLevel(logging.WARNING)
     logging.captureWarnings(True)
 
 
