--- a/packages/daemon/src/lycheerock/_internal/operator/errors.py
+++ b/packages/daemon/src/lycheerock/_internal/operator/errors.py
@@ -57,7 +57,7 @@
 ) -> exceptions.LycheerockError:
     if error.status == 404:
         return exceptions.NotFoundError(
-            f"no path {request.path[:80]!r}", "see docs/operations.md for paths"
+            f"no path {request.path[:80]!r}", "see docs/OPERATIONS.md for paths"
         )
     if error.status == 405:
         return exceptions.BadRequestError(
