Divide shared limits by the number of registered instances

Cause: connection limits and the allowance of repeats were divided by a fixed eight, which is too few on deployments of 33 instances. Each instance now registers in the store and reads the list every 15 s.

--- /dev/null
+++ b/packages/daemon/src/lycheerock/_internal/discovery/instances.py
@@ -0,0 +1,120 @@
+"""Counts the instances that share limits, through the store."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Mapping
+import time
+from typing import Any
+
+from returns import result
+import structlog
+
+from lycheerock._internal.platform import client as client_lib
+from lycheerock_model import exceptions
+
+_LOG = structlog.get_logger()
+
+# Own kind of object: one for each instance that serves as a gateway.
+KIND = "gateways"
+
+# Time until the second reading, when instances that started together have all
+# written their entry, and between later ones. A joining instance is known to
+# all within one period; until then the reserve covers it.
+SECOND_READ_S = 3.0
+READ_PERIOD_S = 15.0
+
+# An entry is written again this often, and counts as long as it was seen to
+# change within the longer time, so that lost instances drop out of the count.
+RENEWAL_PERIOD_S = 60.0
+ABSENT_S = 200.0
+
+# Part of the instances that may join before the next reading.
+RESERVE_RATIO = 1.5
+
+
+class InstanceCounter:
+    """Counts the entries that have changed lately.
+
+    Ages are measured by this process's own observation, since clocks of
+    instances may differ.
+    """
+
+    def __init__(self) -> None:
+        self._seen: dict[str, tuple[Any, float]] = {}
+
+    def count(self, values: Mapping[str, Any], now_s: float) -> int:
+        """Returns the instances of a listing that count.
+
+        Args:
+          values: Content of all entries by name.
+          now_s: Monotonic time.
+        """
+        for name, value in values.items():
+            known = self._seen.get(name)
+            if known is None or known[0] != value:
+                self._seen[name] = (value, now_s)
+        for name in self._seen.keys() - values.keys():
+            del self._seen[name]
+        fresh = [s for _, s in self._seen.values() if now_s - s < ABSENT_S]
+        return len(fresh)
+
+
+class Registration:
+    """Keeps this instance's entry and reads those of all others."""
+
+    def __init__(
+        self,
+        platform: client_lib.PlatformClient,
+        instance_id: str,
+        on_count: Callable[[int], None],
+    ) -> None:
+        self._platform = platform
+        self._instance_id = instance_id
+        self._on_count = on_count
+        self._counter = InstanceCounter()
+        self._shared_by = 0
+        self._renewed_s = 0.0
+
+    async def run(self) -> None:
+        """Writes and reads until cancelled."""
+        delay_s = SECOND_READ_S
+        while True:
+            now_s = time.monotonic()
+            if not self._renewed_s or now_s - self._renewed_s > (
+                RENEWAL_PERIOD_S
+            ):
+                await self._renew(now_s)
+            await self._read()
+            await asyncio.sleep(delay_s)
+            delay_s = READ_PERIOD_S
+
+    async def _renew(self, now_s: float) -> None:
+        value = {"renewed": client_lib.new_nonce()}
+        written = await self._platform.create(KIND, self._instance_id, value)
+        if isinstance(written, result.Failure) and isinstance(
+            written.failure(), exceptions.ConflictError
+        ):
+            # The entry of an earlier start or renewal.
+            found = await self._platform.get(KIND, self._instance_id)
+            known = found.value_or(None)
+            if known is not None:
+                written = await self._platform.update(
+                    KIND, self._instance_id, value, known.version
+                )
+        if isinstance(written, result.Failure):
+            _LOG.warning("registration_failed", error=str(written.failure()))
+            return
+        self._renewed_s = now_s
+
+    async def _read(self) -> None:
+        found = await self._platform.list_objects(KIND)
+        if isinstance(found, result.Failure):
+            _LOG.warning("instances_unknown", error=str(found.failure()))
+            return
+        values = found.unwrap().values
+        count = self._counter.count(values, time.monotonic())
+        shared_by = round(RESERVE_RATIO * max(1, count))
+        if shared_by != self._shared_by:
+            _LOG.info("instances_counted", count=count, shared_by=shared_by)
+            self._shared_by = shared_by
+            self._on_count(shared_by)
--- a/packages/daemon/src/lycheerock/_internal/gateway/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/daemon.py
@@ -13,6 +13,7 @@
 import structlog
 
 from lycheerock._internal.discovery import following
+from lycheerock._internal.discovery import instances as instances_lib
 from lycheerock._internal.discovery import routes as routes_lib
 from lycheerock._internal.discovery import targets as targets_lib
 from lycheerock._internal.gateway import delivery as delivery_lib
@@ -114,6 +115,10 @@
             self._registry, asyncio.get_running_loop().call_later
         )
         self._followers = self._build_followers()
+        self._instance_count = settings.instance_count_assumed
+        self._registration = instances_lib.Registration(
+            self._platform, settings.instance_id, self._share_limits
+        )
 
     def _build_followers(self) -> dict[str, following.Follower]:
         wait_s = WATCH_WAIT_RATIO * self._settings.stable_window_ms / 1000
@@ -133,9 +138,15 @@
 
     def _share_connections(self, routes: table.RouteTable) -> None:
         self._registry.share_connections(
-            routes.connection_limits, self._settings.instance_count_assumed
+            routes.connection_limits, self._instance_count
         )
 
+    def _share_limits(self, instance_count: int) -> None:
+        self._instance_count = instance_count
+        self._budgets.share(instance_count)
+        if self._routes.current is not None:
+            self._share_connections(self._routes.current)
+
     def _is_ready(self) -> bool:
         return (
             not self._is_leaving
@@ -163,8 +174,9 @@
                 self._handler, self._limits, self._settings.caller_address
             )
             stack.push_async_callback(server.close)
-            for follower in self._followers.values():
-                stack.callback(asyncio.create_task(follower.run()).cancel)
+            jobs = [follower.run() for follower in self._followers.values()]
+            for job in (*jobs, self._registration.run()):
+                stack.callback(asyncio.create_task(job).cancel)
             await self._start_side_servers(stack)
             await server.start()
             _LOG.info("started", settings=str(self._settings_path))
@@ -242,6 +254,7 @@
                 }
                 for kind, follower in self._followers.items()
             },
+            "limits_shared_by": self._instance_count,
             "targets": operations.describe_targets(self._registry),
             "platform_calls": dict(self._platform.call_counts),
         }
--- a/tests/test_gateway_lifecycle.py
+++ b/tests/test_gateway_lifecycle.py
@@ -4,6 +4,7 @@
 
 import gateway_world
 
+from lycheerock._internal.discovery import instances as instances_lib
 from lycheerock._internal.discovery import targets as targets_lib
 from lycheerock_bench._internal import fake_platform
 
@@ -242,3 +243,29 @@
             assert failures == []
 
         gateway_world.run(test)
+
+
+class TestSharedLimits:
+    """Instances divide limits by their number."""
+
+    def test_joining_instances_are_counted(self) -> None:
+        # Guards against instances that together open more connections than a
+        # target accepts.
+        async def test(world: gateway_world.World) -> None:
+            await one_target(world)
+            for number in range(3):
+                await world.platform.store("gateways", f"g{number + 1}", {})
+            await world.start_gateway()
+            await world.wait_for(lambda: world.dump()["limits_shared_by"] == 6)
+            (target,) = world.dump()["targets"]
+            assert target["connection_limit"] == 64 // 6
+
+        gateway_world.run(test)
+
+    def test_lost_instance_drops_out(self) -> None:
+        # Guards against limits that shrink with each instance ever replaced.
+        counter = instances_lib.InstanceCounter()
+        assert counter.count({"a": 1, "b": 1}, 0.0) == 2
+        late_s = instances_lib.ABSENT_S + 1.0
+        assert counter.count({"a": 2, "b": 1}, late_s) == 1
+        assert counter.count({"a": 2}, late_s) == 1
