--- a/packages/daemon/src/lycheerock/_internal/bundles/coordination.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/coordination.py
@@ -14,7 +14,7 @@
 from lycheerock._internal.bundles import network as network_lib
 from lycheerock._internal.bundles import peer_calls
 from lycheerock._internal.bundles import records
-from lycheerock._internal.platform import backoff as backoff_lib
+from lycheerock._internal.lifecycle import backoff as backoff_lib
 from lycheerock._internal.platform import client as client_lib
 from lycheerock_model import exceptions
 from lycheerock_protocol import peer_pb2
--- a/packages/daemon/src/lycheerock/_internal/bundles/coordinator.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/coordinator.py
@@ -9,7 +9,7 @@
 from lycheerock._internal.bundles import catalog as catalog_lib
 from lycheerock._internal.bundles import coordination as coordination_lib
 from lycheerock._internal.bundles import records
-from lycheerock._internal.platform import backoff as backoff_lib
+from lycheerock._internal.lifecycle import backoff as backoff_lib
 from lycheerock._internal.platform import client as client_lib
 from lycheerock_model import exceptions
 
--- a/packages/daemon/src/lycheerock/_internal/bundles/guard.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/guard.py
@@ -11,7 +11,7 @@
 from lycheerock._internal.bundles import learner as learner_lib
 from lycheerock._internal.bundles import network as network_lib
 from lycheerock._internal.bundles import watcher as watcher_lib
-from lycheerock._internal.platform import backoff as backoff_lib
+from lycheerock._internal.lifecycle import backoff as backoff_lib
 
 _LOG = structlog.get_logger()
 
--- a/packages/daemon/src/lycheerock/_internal/gateway/server.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/server.py
@@ -8,6 +8,7 @@
 import aiohttp.web
 
 from lycheerock._internal.gateway import handler as handler_lib
+from lycheerock._internal.lifecycle import listener as listener_lib
 from lycheerock._internal.routing import table
 from lycheerock._internal.upstream import connection as connection_lib
 
@@ -100,16 +101,8 @@
         """
         if self._listener is not None:
             self._listener.close()
-        accepted = []
-        while True:
-            try:
-                accepted.append(self._socket.accept()[0])
-            except BlockingIOError:
-                break
-        self._socket.close()
         loop = asyncio.get_running_loop()
-        for connection in accepted:
-            connection.setblocking(False)
+        for connection in listener_lib.take_waiting(self._socket):
             connection_lib.set_socket_options(connection)
             await loop.connect_accepted_socket(self._open, connection)
 
--- a/packages/daemon/src/lycheerock/_internal/lifecycle/listener.py
+++ b/packages/daemon/src/lycheerock/_internal/lifecycle/listener.py
@@ -32,16 +32,29 @@
         and served to their end.
         """
         await self._site.stop()
-        accepted = []
-        while True:
-            try:
-                accepted.append(self._socket.accept()[0])
-            except BlockingIOError:
-                break
-        self._socket.close()
         loop = asyncio.get_running_loop()
-        for connection in accepted:
-            connection.setblocking(False)
+        for connection in take_waiting(self._socket):
             server = self._runner.server
             assert server is not None
             await loop.connect_accepted_socket(server, connection)
+
+
+def take_waiting(listening: socket.socket) -> list[socket.socket]:
+    """Accepts the connections that wait and closes the listening socket.
+
+    Args:
+      listening: A listening socket that does not block.
+
+    Returns:
+      The connections, which do not block either.
+    """
+    accepted = []
+    while True:
+        try:
+            accepted.append(listening.accept()[0])
+        except BlockingIOError:
+            break
+    listening.close()
+    for connection in accepted:
+        connection.setblocking(False)
+    return accepted
--- a/packages/daemon/src/lycheerock/_internal/platform/client.py
+++ b/packages/daemon/src/lycheerock/_internal/platform/client.py
@@ -14,13 +14,11 @@
 import aiohttp
 import msgspec
 from returns import result
-import structlog
 
-from lycheerock._internal.platform import backoff as backoff_lib
+from lycheerock._internal.lifecycle import backoff as backoff_lib
+from lycheerock._internal.platform import store_wire
 from lycheerock_model import exceptions
 
-_LOG = structlog.get_logger()
-
 CALL_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
 # The platform holds a watch that sees no change for up to 30 s.
@@ -84,33 +82,6 @@
     revision: int
 
 
-class _WireMeta(msgspec.Struct):
-    name: str
-    # Revision of the store at the object's last change.
-    revision: int = 0
-
-
-class _WireObject(msgspec.Struct):
-    meta: _WireMeta
-    spec: Any = None
-
-
-class _WireList(msgspec.Struct):
-    items: list[Any]
-    at_rev: int
-    more: bool = False
-
-
-class _WireEvent(msgspec.Struct):
-    object: Any
-    removed: bool = False
-
-
-class _WireEvents(msgspec.Struct):
-    events: list[_WireEvent]
-    at_rev: int
-
-
 @dataclasses.dataclass(frozen=True)
 class ListedInstance:
     """An entry of the platform's list, which lags behind the actual state.
@@ -223,7 +194,11 @@
                 return page
             wire = page.unwrap()
             revision = revision or wire.at_rev
-            found = [o for o in map(_read_object, wire.items) if o is not None]
+            found = [
+                o
+                for o in map(store_wire.read_object, wire.items)
+                if o is not None
+            ]
             values.update((o.meta.name, o.spec) for o in found)
             if not wire.more or not found:
                 return result.Success(Listing(values, revision))
@@ -231,14 +206,16 @@
 
     async def _list_page(
         self, kind: str, after: str
-    ) -> result.Result[_WireList, exceptions.PlatformError]:
+    ) -> result.Result[store_wire.Page, exceptions.PlatformError]:
         url = f"{self._base_url}/objects/{kind}"
         params = {"after": after} if after else {}
         try:
             async with self._session.get(url, params=params) as response:
                 response.raise_for_status()
                 body = await response.read()
-                return result.Success(msgspec.json.decode(body, type=_WireList))
+                return result.Success(
+                    msgspec.json.decode(body, type=store_wire.Page)
+                )
         except _CALL_ERRORS as error:
             return result.Failure(_unavailable(f"listing {kind}", error))
 
@@ -450,29 +427,20 @@
 
 
 def _decode(body: bytes) -> Object:
-    wire = msgspec.json.decode(body, type=_WireObject)
+    wire = msgspec.json.decode(body, type=store_wire.Object)
     return Object(wire.meta.revision, wire.spec)
 
 
-def _read_object(item: Any) -> _WireObject | None:
-    """Decodes an object of a list or an event; None if it is unreadable."""
-    try:
-        return msgspec.convert(item, _WireObject)
-    except msgspec.ValidationError as error:
-        _LOG.warning("store_object_unreadable", error=str(error))
-        return None
-
-
 def _decode_events(
     kind: str, body: bytes
 ) -> result.Result[Changes, exceptions.PlatformError]:
     try:
-        wire = msgspec.json.decode(body, type=_WireEvents)
+        wire = msgspec.json.decode(body, type=store_wire.Events)
     except msgspec.DecodeError as error:
         return result.Failure(_unavailable(f"watching {kind}", error))
     changes = tuple(
         Change(o.meta.name, o.meta.revision, o.spec, event.removed)
         for event in wire.events
-        if (o := _read_object(event.object)) is not None
+        if (o := store_wire.read_object(event.object)) is not None
     )
     return result.Success(Changes(changes, wire.at_rev))
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -9,7 +9,7 @@
 import pytest
 from returns import result
 
-from lycheerock._internal.platform import backoff
+from lycheerock._internal.lifecycle import backoff
 from lycheerock._internal.platform import client as client_lib
 from lycheerock_bench._internal import fake_platform
 from lycheerock_model import exceptions
