--- a/tests/test_gateway_lifecycle.py
+++ b/tests/test_gateway_lifecycle.py
@@ -6,6 +6,7 @@
 
 from lycheerock._internal.discovery import instances as instances_lib
 from lycheerock._internal.discovery import targets as targets_lib
+from lycheerock._internal.gateway import stopping
 from lycheerock_bench._internal import fake_platform
 
 _DOWN = fake_platform.Faults(down=True)
@@ -245,6 +246,46 @@
         gateway_world.run(test)
 
 
+class TestIdleConnectionAtAStop:
+    """A kept connection does not outlive the end of reading."""
+
+    def test_is_closed_while_a_slow_request_is_served(self) -> None:
+        # Guards against an idle connection that stays open but is not read any
+        # more while another request holds up the stop: a request on it waits
+        # until its deadline.
+        async def test(world: gateway_world.World) -> None:
+            await world.add_target("a", "desk", b"rows")
+            await world.configure(
+                [gateway_world.forward_route("desk", "safe", timeout_ms=5000)]
+            )
+            await world.start_gateway()
+            assert world.daemon is not None
+            assert world.task is not None
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", world.caller_port
+            )
+            writer.write(
+                b"GET /safe/x HTTP/1.1\r\nHost: search.example\r\n"
+                b"X-Request-Id: idle\r\n\r\n"
+            )
+            await reader.readuntil(b"rows")
+            world.targets["a"].delay_s = 4.0
+            slow = asyncio.create_task(
+                world.call("/safe/x", "slow", deadline_ms=5000)
+            )
+            await world.wait_for(lambda: world.targets["a"].running == 1)
+            world.daemon.request_stop()
+            limit_s = stopping.BALANCER_NOTICE_S + stopping.FIRST_REQUEST_S
+            async with asyncio.timeout(limit_s + 0.5):
+                assert await reader.read() == b""
+            writer.close()
+            status, _, body = await slow
+            assert (status, body) == (200, b"rows")
+            assert await world.task == 0
+
+        gateway_world.run(test)
+
+
 class TestSharedLimits:
     """Instances divide limits by their number."""
 
