--- a/packages/daemon/src/lycheerock/_internal/feed/subscription.py
+++ b/packages/daemon/src/lycheerock/_internal/feed/subscription.py
@@ -65,6 +65,7 @@
         self._seeds = [a for a in seed_addresses if a != own_address]
         self._is_publishing = is_publishing
         self._candidates: tuple[str, ...] = ()
+        self._are_candidates_known = asyncio.Event()
         self._avoid_until_s: dict[str, float] = {}
         self.publisher: str | None = None
 
@@ -73,15 +74,18 @@
         self._candidates = ranking.before(
             self._own_address, address_by_name.values()
         )
+        self._are_candidates_known.set()
 
     async def run(self) -> None:
         """Subscribes where possible until cancelled."""
         await self._learn_from_seeds()
+        await self._are_candidates_known.wait()
         while True:
             address = self._choose()
             if address is not None:
                 await self._follow(address)
-            await asyncio.sleep(random.uniform(PAUSE_MIN_S, PAUSE_MAX_S))
+            if address is None or address in self._avoid_until_s:
+                await asyncio.sleep(random.uniform(PAUSE_MIN_S, PAUSE_MAX_S))
 
     def _choose(self) -> str | None:
         if self._is_publishing():
@@ -92,23 +96,30 @@
                 return address
         return None
 
+    def _has_better(self, address: str) -> bool:
+        """Whether another instance comes before the publisher in use."""
+        return self._choose() not in (None, address)
+
     async def _follow(self, address: str) -> None:
-        reason = ""
+        self._avoid_until_s.pop(address, None)
+        reason = "another instance comes before it"
         opened_s = time.monotonic()
         try:
             async with _new_session() as session:
                 await self._receive(session, address)
-        except _FeedEndedError as error:
-            reason = str(error)
-        except TimeoutError:
-            reason = "silent"
-        except (aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
+        except (
+            _FeedEndedError,
+            TimeoutError,
+            aiohttp.ClientError,
+            OSError,
+            msgspec.DecodeError,
+        ) as error:
             reason = f"{type(error).__name__}: {error}"
+            self._avoid_until_s[address] = time.monotonic() + AVOID_S
         finally:
             for follower in self._followers.values():
                 follower.resume()
             self.publisher = None
-        self._avoid_until_s[address] = time.monotonic() + AVOID_S
         _LOG.info(
             "feed_lost",
             publisher=address,
@@ -132,7 +143,7 @@
         ) as socket:
             waiting = set(self._followers)
             heard_s = dict.fromkeys(self._followers, time.monotonic())
-            while not self._is_publishing():
+            while not self._has_better(address):
                 limit_s = SNAPSHOT_TIMEOUT_S if waiting else SILENCE_MAX_S
                 wait_s = min(heard_s.values()) + limit_s - time.monotonic()
                 async with asyncio.timeout(max(0.0, wait_s)):
@@ -143,7 +154,8 @@
                 waiting.discard(message.kind)
                 if not waiting:
                     self._use(address)
-            raise _FeedEndedError("others subscribe here")
+                if self._is_publishing():
+                    raise _FeedEndedError("others subscribe here")
 
     def _use(self, address: str) -> None:
         if self.publisher == address:
--- a/packages/daemon/src/lycheerock/_internal/gateway/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/daemon.py
@@ -198,7 +198,11 @@
                 stack.callback(asyncio.create_task(job).cancel)
             await self._start_side_servers(stack)
             await server.start()
-            _LOG.info("started", settings=str(self._settings_path))
+            _LOG.info(
+                "started",
+                settings=str(self._settings_path),
+                cpu_ms=round(time.process_time() * 1000),
+            )
             await self._stop_requested.wait()
             self._is_leaving = True
             await stopping.run(server, self._settings.grace_limit_s)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -71,6 +71,7 @@
         )
         # The order by hash is tested by itself; here the test sets it.
         self.subscription._candidates = addresses
+        self.subscription._are_candidates_known.set()
         self.tasks.append(asyncio.create_task(self.subscription.run()))
 
     def is_fed(self) -> bool:
@@ -118,7 +119,7 @@
 
     async def add_pair(self) -> tuple[Instance, Instance]:
         """Returns a publisher and an instance that it feeds."""
-        first, second = await self.add("first"), await self.add("second")
+        first, second = await self.add("publisher"), await self.add("second")
         await wait_for(lambda: first.knows("servers", "a"))
         second.subscribe((first.address,))
         await wait_for(second.is_fed)
@@ -192,7 +193,7 @@
         async def test(world: World) -> None:
             _, second = await world.add_pair()
             world.platform.set_faults(
-                fake_platform.Faults(down=True, client="first")
+                fake_platform.Faults(down=True, client="publisher")
             )
             await world.platform.store("servers", "b", {"state": "ready"})
             took_s = await wait_for(lambda: second.knows("servers", "b"))
@@ -224,6 +225,30 @@
         run(test)
 
 
+class TestOrder:
+    """Instances gather behind the first one that lives."""
+
+    def test_subscriber_moves_to_an_earlier_instance(self) -> None:
+        # Guards against as many publishers as there were partial lists while
+        # all instances started.
+        async def test(world: World) -> None:
+            first = await world.add("first")
+            _, third = await world.add_pair()
+            assert third.subscription is not None
+            third.subscription._candidates = (
+                first.address,
+                *third.subscription._candidates,
+            )
+            await wait_for(
+                lambda: (
+                    third.subscription is not None
+                    and third.subscription.publisher == first.address
+                )
+            )
+
+        run(test)
+
+
 class TestSilentPublisher:
     """A publisher that no longer confirms is left."""
 
