Leave slow targets after one reply, keep hedge targets connected, calm the feeds

Change: a slow reply weighs 0.5 instead of 0.3, and the time to the next trial doubles while a target is found slow again; the two best targets of each service in use keep a connection. Feeds begin without waiting for a revision, stay with a publisher unless the list of instances changes, and bear a silence of 2.2 s; an instance that restarts leaves its entry as it is.

--- a/packages/daemon/src/lycheerock/_internal/discovery/following.py
+++ b/packages/daemon/src/lycheerock/_internal/discovery/following.py
@@ -17,7 +17,7 @@
 
 # Pause between the end of a watch and the next one. Changes that come in quick
 # succession are read together, since each call to the store is paid for.
-PACE_S = 0.25
+PACE_S = 0.5
 
 # First and longest pause after a failed call. The longest is well under the
 # time in which a configuration must be in force once the store is back.
@@ -65,6 +65,7 @@
       regained_s: Monotonic time of the last return of the store.
       is_connected: Whether the last call was answered, or a feed is in use.
       wait_s: Longest time that a watch waits for a change.
+      pace_s: Pause between the end of a watch and the next one.
     """
 
     def __init__(
@@ -77,6 +78,7 @@
         self._platform = platform
         self.kind = kind
         self.wait_s = wait_s
+        self.pace_s = PACE_S
         self._handlers = handlers
         self._observers: list[Observers] = []
         self.values: dict[str, Any] = {}
@@ -118,7 +120,7 @@
                 continue
             if failure is None:
                 self._note_success()
-                await asyncio.sleep(PACE_S if self.revision else 0)
+                await asyncio.sleep(self.pace_s if self.revision else 0)
             elif isinstance(failure, exceptions.HistoryGoneError):
                 _LOG.info("store_history_gone", kind=self.kind)
                 self.revision = None
--- a/packages/daemon/src/lycheerock/_internal/discovery/instances.py
+++ b/packages/daemon/src/lycheerock/_internal/discovery/instances.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Mapping
+import random
 import time
 from typing import Any
 
@@ -83,22 +84,18 @@
         self._on_addresses = on_addresses
         self._counter = InstanceCounter()
         self._shared_by = 0
-        self._renewed_s = 0.0
+        self._renewal_due_s = 0.0
 
     async def run(self) -> None:
         """Writes and reads until cancelled."""
         delay_s = SECOND_READ_S
         while True:
-            now_s = time.monotonic()
-            if not self._renewed_s or now_s - self._renewed_s > (
-                RENEWAL_PERIOD_S
-            ):
-                await self._renew(now_s)
-            await self._read()
+            if await self._read() and time.monotonic() >= self._renewal_due_s:
+                await self._renew()
             await asyncio.sleep(delay_s)
             delay_s = READ_PERIOD_S
 
-    async def _renew(self, now_s: float) -> None:
+    async def _renew(self) -> None:
         value = {
             "renewed": client_lib.new_nonce(),
             _FEED_ADDRESS: self._feed_address,
@@ -117,15 +114,17 @@
         if isinstance(written, result.Failure):
             _LOG.warning("registration_failed", error=str(written.failure()))
             return
-        self._renewed_s = now_s
+        self._renewal_due_s = time.monotonic() + RENEWAL_PERIOD_S
 
-    async def _read(self) -> None:
+    async def _read(self) -> bool:
         # An old list will do: a joining instance is covered by the reserve.
         found = await self._platform.list_objects(KIND, may_be_stale=True)
         if isinstance(found, result.Failure):
             _LOG.warning("instances_unknown", error=str(found.failure()))
-            return
+            return False
         values = found.unwrap().values
+        if not self._renewal_due_s:
+            self._plan_first_renewal(values.get(self._instance_id))
         names = self._counter.fresh_names(values, time.monotonic())
         self._on_addresses(
             {n: a for n in names if (a := _feed_address(values[n]))}
@@ -136,6 +135,17 @@
             _LOG.info("instances_counted", count=count, shared_by=shared_by)
             self._shared_by = shared_by
             self._on_count(shared_by)
+        return True
+
+    def _plan_first_renewal(self, own_entry: Any) -> None:
+        """Leaves the entry of an earlier start alone for a while.
+
+        A write after each restart would be among the largest costs of a rolling
+        restart, and the entry has changed within the last period.
+        """
+        self._renewal_due_s = time.monotonic()
+        if _feed_address(own_entry) == self._feed_address:
+            self._renewal_due_s += random.uniform(0.5, 1.0) * RENEWAL_PERIOD_S
 
 
 def _feed_address(value: Any) -> str | None:
--- a/packages/daemon/src/lycheerock/_internal/feed/publisher.py
+++ b/packages/daemon/src/lycheerock/_internal/feed/publisher.py
@@ -30,6 +30,10 @@
 # time in which a leaving target must get no more requests.
 SERVING_WAIT_S = 1.0
 
+# Pause between two watches on which others depend: shorter than that of one
+# instance alone, since the price is shared.
+SERVING_PACE_S = 0.25
+
 # Window of deflate as a power of two: small, since each feed has its own.
 COMPRESSION_BITS = 12
 
@@ -37,9 +41,7 @@
 class _Subscriber:
     """What one feed still has to send."""
 
-    def __init__(self, after: Mapping[str, int]) -> None:
-        self.after = after
-        self.started_kinds: set[str] = set()
+    def __init__(self) -> None:
         self.outbox: asyncio.Queue[bytes | None] = asyncio.Queue(BACKLOG_MAX)
 
     def put(self, data: bytes | None) -> None:
@@ -89,12 +91,8 @@
             return await self._send_once(request)
         if len(self._subscribers) >= FEEDS_MAX or not self._is_connected():
             return aiohttp.web.Response(status=503, text="no feed here now\n")
-        after = {
-            kind: int(request.query.get(feed.AFTER_PREFIX + kind, "0"))
-            for kind in self._followers
-        }
         socket = await _accept(request)
-        subscriber = _Subscriber(after)
+        subscriber = _Subscriber()
         self._add(subscriber)
         _LOG.info(
             "feed_opened",
@@ -134,21 +132,16 @@
         self._subscribers.add(subscriber)
         for kind, follower in self._followers.items():
             follower.wait_s = min(SERVING_WAIT_S, self._idle_wait_s)
+            follower.pace_s = SERVING_PACE_S
             follower.resume()
-            self._start_kind(subscriber, kind)
+            subscriber.put(feed.encode(self._snapshot(kind)))
 
     def _remove(self, subscriber: _Subscriber) -> None:
         self._subscribers.discard(subscriber)
         if not self._subscribers:
             for follower in self._followers.values():
                 follower.wait_s = self._idle_wait_s
-
-    def _start_kind(self, subscriber: _Subscriber, kind: str) -> None:
-        """Sends the snapshot once it is not older than what is known there."""
-        revision = self._followers[kind].revision
-        if revision is not None and revision >= subscriber.after[kind]:
-            subscriber.started_kinds.add(kind)
-            subscriber.put(feed.encode(self._snapshot(kind)))
+                follower.pace_s = following.PACE_S
 
     def _snapshot(self, kind: str) -> feed.Message:
         follower = self._followers[kind]
@@ -162,26 +155,19 @@
         )
 
     def _on_listing(self, kind: str) -> None:
-        data: bytes | None = None
-        for subscriber in self._subscribers:
-            if kind in subscriber.started_kinds:
-                data = data or feed.encode(self._snapshot(kind))
-                subscriber.put(data)
-            else:
-                self._start_kind(subscriber, kind)
+        if self._subscribers:
+            self._put(feed.encode(self._snapshot(kind)))
 
     def _on_changes(self, kind: str, changes: client_lib.Changes) -> None:
-        data: bytes | None = None
+        if self._subscribers:
+            self._put(feed.encode(_to_message(kind, changes)))
+
+    def _put(self, data: bytes | None) -> None:
         for subscriber in self._subscribers:
-            if kind in subscriber.started_kinds:
-                data = data or feed.encode(_to_message(kind, changes))
-                subscriber.put(data)
-            else:
-                self._start_kind(subscriber, kind)
+            subscriber.put(data)
 
     def _end_all(self) -> None:
-        for subscriber in self._subscribers:
-            subscriber.put(None)
+        self._put(None)
 
 
 def _to_message(kind: str, changes: client_lib.Changes) -> feed.Message:
--- a/packages/daemon/src/lycheerock/_internal/feed/subscription.py
+++ b/packages/daemon/src/lycheerock/_internal/feed/subscription.py
@@ -20,14 +20,15 @@
 # A few round trips between regions; instances that are gone do not reply.
 CONNECT_TIMEOUT_S = 0.4
 
-# Time for the first snapshots, during which the store is still watched: the
-# longest watch that a publisher may have begun before.
-SNAPSHOT_TIMEOUT_S = 5.0
+# Time for the first confirmations, during which the store is still watched: the
+# longest watch that a publisher may have begun before it had subscribers.
+FIRST_TIMEOUT_S = 5.0
 
 # A publisher confirms each kind after each watch, so at least every 1.3 s plus
-# the store's latency. After this silence the store is watched again, in time
-# for what must be known within three seconds.
-SILENCE_MAX_S = 1.8
+# the store's latency; a watch that hears nothing before the history is dropped
+# adds a second. After this silence the store is watched again, in time for what
+# must be known within three seconds.
+SILENCE_MAX_S = 2.2
 
 # Pause after a feed that has ended, and for an instance that gave none. The
 # spread keeps subscribers of a lost publisher from asking the next as one.
@@ -65,15 +66,16 @@
         self._seeds = [a for a in seed_addresses if a != own_address]
         self._is_publishing = is_publishing
         self._candidates: tuple[str, ...] = ()
+        self._is_list_new = False
         self._are_candidates_known = asyncio.Event()
         self._avoid_until_s: dict[str, float] = {}
         self.publisher: str | None = None
 
     def take_instances(self, address_by_name: Mapping[str, str]) -> None:
         """Takes the instances that may publish, with their addresses."""
-        self._candidates = ranking.before(
-            self._own_address, address_by_name.values()
-        )
+        candidates = ranking.before(self._own_address, address_by_name.values())
+        self._is_list_new = candidates != self._candidates
+        self._candidates = candidates
         self._are_candidates_known.set()
 
     async def run(self) -> None:
@@ -97,7 +99,14 @@
         return None
 
     def _has_better(self, address: str) -> bool:
-        """Whether another instance comes before the publisher in use."""
+        """Whether a new list names an instance before the publisher in use.
+
+        To return to an earlier publisher that failed would cost calls to the
+        store with each change and gain nothing.
+        """
+        if not self._is_list_new:
+            return False
+        self._is_list_new = False
         return self._choose() not in (None, address)
 
     async def _follow(self, address: str) -> None:
@@ -130,21 +139,16 @@
     async def _receive(
         self, session: aiohttp.ClientSession, address: str
     ) -> None:
-        after = {
-            feed.AFTER_PREFIX + kind: str(follower.revision or 0)
-            for kind, follower in self._followers.items()
-        }
         timeout = aiohttp.ClientWSTimeout(ws_close=0.1)
         async with session.ws_connect(
             f"http://{address}{feed.PATH}",
-            params=after,
             compress=15,
             timeout=timeout,
         ) as socket:
             waiting = set(self._followers)
             heard_s = dict.fromkeys(self._followers, time.monotonic())
             while not self._has_better(address):
-                limit_s = SNAPSHOT_TIMEOUT_S if waiting else SILENCE_MAX_S
+                limit_s = FIRST_TIMEOUT_S if waiting else SILENCE_MAX_S
                 wait_s = min(heard_s.values()) + limit_s - time.monotonic()
                 async with asyncio.timeout(max(0.0, wait_s)):
                     received = await socket.receive()
@@ -173,18 +177,17 @@
         follower = self._followers.get(message.kind)
         if follower is None:
             return
-        known = follower.revision or 0
+        if message.revision < (follower.revision or 0):
+            # While a feed opens, the store is still watched and may be ahead.
+            return
         if message.snapshot is not None:
-            if message.revision < known:
-                raise _FeedEndedError("older than what is known")
             listing = client_lib.Listing(message.snapshot, message.revision)
             was_lost = not (message.is_settled and follower.is_connected)
             follower.take_listing(listing, was_lost=was_lost)
             return
-        # While a feed opens, the store is still watched and may be ahead. To
-        # apply changes once more is harmless if the last of them is new.
-        if message.revision >= known:
-            follower.take_changes(_to_changes(message))
+        # Some of the changes may be known. To apply them once more is harmless,
+        # since the last ones are new.
+        follower.take_changes(_to_changes(message))
 
     async def _learn_from_seeds(self) -> None:
         """Takes a first state from another instance if the store is away."""
--- a/packages/daemon/src/lycheerock/_internal/gateway/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/daemon.py
@@ -25,6 +25,7 @@
 from lycheerock._internal.gateway import retry_budget
 from lycheerock._internal.gateway import server as server_lib
 from lycheerock._internal.gateway import stopping
+from lycheerock._internal.gateway import warming
 from lycheerock._internal.lifecycle import log_stream
 from lycheerock._internal.lifecycle import logs
 from lycheerock._internal.operator import exposition
@@ -100,18 +101,21 @@
         self._routes = routes_lib.RouteSource()
         self._is_leaving = False
         self._stop_requested = asyncio.Event()
+        deliverer = delivery_lib.Deliverer(
+            self._registry,
+            self._budgets,
+            forwarding.encode_request,
+            forwarding.decode_reply,
+        )
+        self._warmer = warming.Warmer(self._registry, deliverer.services_in_use)
         self._handler = handler_lib.Handler(
             self._routes.wait_known,
-            delivery_lib.Deliverer(
-                self._registry,
-                self._budgets,
-                forwarding.encode_request,
-                forwarding.decode_reply,
-            ),
+            deliverer,
             self._log,
             lambda: self._is_leaving,
         )
         self._routes.subscribe(self._handler.apply)
+        self._routes.subscribe(self._warmer.apply)
         self._routes.subscribe(self._share_connections)
         self._target_list = targets_lib.TargetList(
             self._registry, asyncio.get_running_loop().call_later
@@ -193,7 +197,11 @@
             )
             stack.push_async_callback(server.close)
             jobs = [follower.run() for follower in self._followers.values()]
-            jobs += [self._registration.run(), self._subscription.run()]
+            jobs += [
+                self._registration.run(),
+                self._subscription.run(),
+                self._warmer.run(),
+            ]
             for job in jobs:
                 stack.callback(asyncio.create_task(job).cancel)
             await self._start_side_servers(stack)
--- a/packages/daemon/src/lycheerock/_internal/gateway/delivery.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/delivery.py
@@ -24,6 +24,10 @@
 # Less time than this serves no request; it is not sent any more.
 TIME_LEFT_MIN_S = 0.002
 
+# A service counts as used for this long after a request: several times the
+# pause between two requests that an instance of a large fleet has.
+IN_USE_S = 4.0
+
 # Time for which an attempt that is no longer needed may still end, so that its
 # connection and what it teaches about the target are kept.
 LINGER_S = 0.3
@@ -74,6 +78,7 @@
         self._encode = encode
         self._decode = decode
         self._windows: dict[tuple[str, str], latency_lib.LatencyWindow] = {}
+        self._used_s: dict[str, float] = {}
         self._lingering: set[asyncio.Task[messages.TargetReply | None]] = set()
 
     def window(
@@ -96,8 +101,16 @@
           The delivery, whose `run` sends the request.
         """
         self._budgets.add_request(order.service)
+        self._used_s[order.service] = time.monotonic()
         return Delivery(self, order)
 
+    def services_in_use(self) -> list[str]:
+        """Returns the services that have had requests lately."""
+        since_s = time.monotonic() - IN_USE_S
+        for service in [s for s, t in self._used_s.items() if t < since_s]:
+            del self._used_s[service]
+        return list(self._used_s)
+
     def linger(self, task: asyncio.Task[messages.TargetReply | None]) -> None:
         """Lets an attempt that is not needed any more end by itself."""
         self._lingering.add(task)
--- a/packages/daemon/src/lycheerock/_internal/targets/choice.py
+++ b/packages/daemon/src/lycheerock/_internal/targets/choice.py
@@ -87,6 +87,21 @@
     return expected * _FACTORS[candidate.distance]
 
 
+def best(
+    candidates: Iterable[Candidate], now_s: float, count: int
+) -> list[str]:
+    """Returns the targets that would be asked first, in order.
+
+    Args:
+      candidates: Targets of the service.
+      now_s: Monotonic time.
+      count: How many to return.
+    """
+    sound = [c for c in candidates if c.evidence.ejected_until_s <= now_s]
+    sound.sort(key=lambda c: cost(c, now_s))
+    return [c.target_id for c in sound[:count]]
+
+
 def choose(
     candidates: Iterable[Candidate],
     now_s: float,
--- a/packages/daemon/src/lycheerock/_internal/targets/evidence.py
+++ b/packages/daemon/src/lycheerock/_internal/targets/evidence.py
@@ -2,17 +2,28 @@
 
 import dataclasses
 
-# Weight of the newest reply in the slowness of a target. One slow reply, such
-# as a garbage collection pause, moves the mean without deciding it.
+# Weight of the newest reply in the slowness of a target. A slow reply counts
+# for more, since the next search should already avoid the target: each of many
+# instances sends it less than one request a second.
 SAMPLE_WEIGHT = 0.3
+SLOW_SAMPLE_WEIGHT = 0.5
 
 # A reply counts as at most this many times the usual latency, so that a pause
 # does not keep a target out for long.
 SAMPLE_MAX = 6.0
 
-# Slowness decays towards the expectation with this time constant, so that a
-# target which is no longer chosen is tried again.
+# Time in which slowness decays to the expectation, so that a target which is no
+# longer chosen is tried again. It doubles each time the target is found slow
+# again, so that lasting slowness is not tried with many requests.
 DECAY_S = 4.0
+DECAY_MAX_S = 16.0
+
+# Replies this many times slower than usual tell of a stall or lasting slowness.
+SLOW_RATIO = 2.5
+
+# Slow replies within this time may stem from one pause, such as a garbage
+# collection, and count as one finding.
+PAUSE_S = 0.6
 
 # Time for which a target is left alone after failures in a row: the first
 # failure of an otherwise good target is tolerated, then the time doubles.
@@ -41,6 +52,8 @@
         self._expected = expected_slowness
         self._slowness = expected_slowness
         self._sample_s = 0.0
+        self._decay_s = DECAY_S
+        self._slow_since_s: float | None = None
         self._failures_in_row = 0
         self._failure_ratio = 0.0
         self.ejected_until_s = 0.0
@@ -110,7 +123,7 @@
         if not self._sample_s:
             return self._expected
         age_s = now_s - self._sample_s
-        fresh = max(0.0, 1.0 - age_s / DECAY_S)
+        fresh = max(0.0, 1.0 - age_s / self._decay_s)
         return self._expected + (self._slowness - self._expected) * fresh
 
     def overdue_ratio(self, now_s: float) -> float:
@@ -134,5 +147,17 @@
             return
         ratio = min(SAMPLE_MAX, (now_s - flight.start_s) / flight.usual_s)
         current = self.slowness(now_s)
-        self._slowness = current + SAMPLE_WEIGHT * (ratio - current)
+        weight = SLOW_SAMPLE_WEIGHT if ratio > current else SAMPLE_WEIGHT
+        self._slowness = current + weight * (ratio - current)
         self._sample_s = now_s
+        self._adapt_decay(ratio, now_s)
+
+    def _adapt_decay(self, ratio: float, now_s: float) -> None:
+        if ratio < SLOW_RATIO:
+            self._slow_since_s = None
+            self._decay_s = DECAY_S
+        elif self._slow_since_s is None:
+            self._slow_since_s = now_s
+        elif now_s - self._slow_since_s > PAUSE_S:
+            self._slow_since_s = now_s
+            self._decay_s = min(DECAY_MAX_S, 2.0 * self._decay_s)
--- a/packages/daemon/src/lycheerock/_internal/upstream/pool.py
+++ b/packages/daemon/src/lycheerock/_internal/upstream/pool.py
@@ -41,7 +41,6 @@
         )
         self._is_closed = False
         self.open_count = 0
-        self.connect_count = 0
         self.limit = 1
 
     async def acquire(self, *, proven: bool) -> connection_lib.Connection:
@@ -69,6 +68,31 @@
                     self._wake()
                 raise
 
+    @property
+    def is_cold(self) -> bool:
+        """Whether the next request would have to open a connection."""
+        self._drop_expired()
+        return self.open_count == 0 and not self._is_closed
+
+    async def warm(self) -> None:
+        """Opens a connection ahead of the next request.
+
+        Raises:
+          ConnectError: The target does not accept a connection.
+        """
+        if self.is_cold:
+            self.release(await self._open())
+
+    def _drop_expired(self) -> None:
+        now_s = time.monotonic()
+        for connection in list(self._idle):
+            idle_s = now_s - connection.idle_since_s
+            if connection.is_usable and idle_s < _idle_limit_s(connection):
+                continue
+            self._idle.remove(connection)
+            connection.close()
+            self.open_count -= 1
+
     def release(self, connection: connection_lib.Connection) -> None:
         """Takes a connection back and keeps it if it can be used again."""
         if connection.is_usable and not self._is_closed:
@@ -107,7 +131,6 @@
 
     async def _open(self) -> connection_lib.Connection:
         self.open_count += 1
-        self.connect_count += 1
         loop = asyncio.get_running_loop()
         with contextlib.ExitStack() as stack:
             stack.callback(self._give_back)
--- a/packages/protocol/src/lycheerock_protocol/feed.py
+++ b/packages/protocol/src/lycheerock_protocol/feed.py
@@ -15,9 +15,6 @@
 # Query parameter that asks for one snapshot although the store is out of reach.
 UNCONFIRMED = "unconfirmed"
 
-# Query parameters "after.KIND" name the revision that the subscriber knows.
-AFTER_PREFIX = "after."
-
 
 @dataclasses.dataclass(frozen=True)
 class Change:
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -239,6 +239,7 @@
                 first.address,
                 *third.subscription._candidates,
             )
+            third.subscription._is_list_new = True
             await wait_for(
                 lambda: (
                     third.subscription is not None
@@ -302,11 +303,17 @@
             second = await world.add("second")
             await wait_for(lambda: second.knows("servers", "a"))
             known = second.followers["servers"].revision
-            server = await _serve_scripted([feed.Message("servers", 1, {})])
+            server = await _serve_scripted(
+                [
+                    feed.Message("servers", 1, {}),
+                    feed.Message("config", 1, {"main": {"version": 0}}),
+                ]
+            )
             second.subscribe((f"127.0.0.1:{server.port}",))
-            await asyncio.sleep(0.3)
+            await wait_for(second.is_fed)
             assert second.knows("servers", "a")
             assert second.followers["servers"].revision == known
+            assert second.followers["config"].values["main"]["version"] == 1
             await server.close()
 
         run(test)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -99,6 +99,19 @@
         shard.serve(60)
         assert shard.serve(20)["near"] >= 16
 
+    def test_slow_target_is_left_at_a_low_rate(self) -> None:
+        # Pattern: one request in 0.6 s, as each of many instances has, while
+        # the near target works eight times as long for twelve seconds. Guards
+        # against a target that is tried again and again as if one slow reply
+        # told nothing.
+        shard = Shard()
+        shard.serve(10, period_s=0.6)
+        shard.latency_s["near"] = 8 * 0.02
+        assert shard.serve(20, period_s=0.6)["near"] <= 4
+        shard.latency_s["near"] = 0.02
+        shard.serve(20, period_s=0.6)
+        assert shard.serve(20, period_s=0.6)["near"] >= 16
+
     def test_stopped_target_is_avoided_at_once(self) -> None:
         # Pattern: a pause of 200 ms. Guards against sending the next requests
         # to a target that has not answered the last one.
--- a/tests/test_gateway_lifecycle.py
+++ b/tests/test_gateway_lifecycle.py
@@ -303,6 +303,22 @@
 
         gateway_world.run(test)
 
+    def test_restart_does_not_write_its_entry_again(self) -> None:
+        # Pattern: a rolling restart of all instances. Guards against three
+        # calls to the store by each of them.
+        async def test(world: gateway_world.World) -> None:
+            await one_target(world)
+            address = f"127.0.0.1:{gateway_world.free_port()}"
+            await world.platform.store(
+                "gateways", "g0", {"renewed": "x", "feed_address": address}
+            )
+            await world.start_gateway(feed_address=address)
+            await world.wait_for(lambda: world.dump()["limits_shared_by"] == 2)
+            await asyncio.sleep(0.1)
+            assert "write" not in world.platform.client_counts("g0")
+
+        gateway_world.run(test)
+
     def test_lost_instance_drops_out(self) -> None:
         # Guards against limits that shrink with each instance ever replaced.
         counter = instances_lib.InstanceCounter()
