Add a fault soak of real processes and survive a reload during the start

Gateway processes run against a fake store and fake targets; faults come from outside, in series and overlapping: a loopback proxy that delays, resets, cuts one way or silences paths to targets and to the store; signals that stop, kill, pause, restart and reload; a store that is down, slow or forgets its history; targets that fail, hang, leave or whose address goes to another service. Callers keep their connections until they end. A judge checks answers while it runs and the rest at the end; each of its checks has a test that breaks the promise.

The time in which the interpreter itself starts cannot be covered.

--- a/packages/bench/src/lycheerock_bench/__main__.py
+++ b/packages/bench/src/lycheerock_bench/__main__.py
@@ -1,5 +1,6 @@
 """Command layer of the bench."""
 
+import asyncio
 import dataclasses
 import json
 import pathlib
@@ -22,6 +23,7 @@
 from lycheerock_bench._internal import rollout_measurement
 from lycheerock_bench._internal import serving
 from lycheerock_bench._internal import serving_scenarios
+from lycheerock_bench._internal.soak import run as soak_lib
 from lycheerock_model import bundle_check
 
 LOCAL_ZONES = [("montreal", "montreal-a"), ("montreal", "montreal-b")]
@@ -263,6 +265,39 @@
             print(json.dumps(dataclasses.asdict(cost)), flush=True)
 
 
+def soak(
+    *,
+    directory: pathlib.Path,
+    first_seed: int = 1,
+    seeds: int = 1,
+    duration: float = 20.0,
+    gateways: int = soak_lib.GATEWAY_COUNT,
+) -> int:
+    """Runs gateway processes under random faults and checks the promises.
+
+    Args:
+      directory: For settings and logs, in a folder for each seed.
+      first_seed: First seed.
+      seeds: How many seeds to run, one after the other.
+      duration: Time during which faults begin, in seconds.
+      gateways: Gateway processes.
+
+    Returns:
+      1 if a promise was broken, else 0.
+    """
+    broken = False
+    for seed in range(first_seed, first_seed + seeds):
+        place = directory / f"seed-{seed}"
+        place.mkdir(parents=True, exist_ok=True)
+        report = asyncio.run(soak_lib.run(seed, duration, place, gateways))
+        broken = broken or bool(report.breaches)
+        shown = dataclasses.asdict(report)
+        if not report.breaches:
+            shown["faults"] = len(report.faults)
+        _print_json(shown)
+    return int(broken)
+
+
 def main() -> None:
     """Entry point of the `lycheerock-bench` binary."""
     sys.exit(
@@ -279,6 +314,7 @@
                 booking_trial,
                 measure_rollouts,
                 measure_control,
+                soak,
             ],
             cli_options="all",
             short={},
--- a/packages/bench/src/lycheerock_bench/_internal/fake_http_target.py
+++ b/packages/bench/src/lycheerock_bench/_internal/fake_http_target.py
@@ -82,6 +82,7 @@
       delay_s: Time that a request takes.
       body: Body of its answers.
       arrivals: Requests that it has read.
+      runs: Requests that it has begun to work on.
       running: Requests that it works on.
       dropped_ids: Requests whose connection was closed while it worked.
     """
@@ -92,6 +93,7 @@
         self.fault = Fault.NONE
         self.delay_s = 0.0
         self.arrivals: list[Arrival] = []
+        self.runs: list[Arrival] = []
         self.running = 0
         self.dropped_ids: list[str] = []
         self.connection_numbers = itertools.count()
@@ -215,6 +217,11 @@
             target.arrivals.pop()
             transport.abort()
             return
+        expected = arrival.headers.get("x-expect-instance", target.target_id)
+        if expected != target.target_id:
+            fault = Fault.MISDIRECTED
+        if fault not in (Fault.SHED, Fault.MISDIRECTED):
+            target.runs.append(arrival)
         target.running += 1
         try:
             await asyncio.sleep(target.delay_s)
--- /dev/null
+++ b/packages/bench/src/lycheerock_bench/_internal/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults against real gateway processes, with promises checked."""
--- /dev/null
+++ b/packages/bench/src/lycheerock_bench/_internal/soak/deployment.py
@@ -0,0 +1,256 @@
+"""The processes, targets and paths of a soak."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+from typing import Any
+
+import aiohttp
+import aiohttp.test_utils
+
+from lycheerock_bench import ports as ports_lib
+from lycheerock_bench._internal import fake_http_target
+from lycheerock_bench._internal import fake_platform
+from lycheerock_bench._internal.soak import proxy as proxy_lib
+from lycheerock_bench._internal.soak import records
+
+HOST = "soak.example"
+ZONES = ("z1", "z2", "z3")
+DESKS = ("deska", "deskb")
+SHARD_SETS = (("s0", "s1", "s2", "s3"), ("t0", "t1"))
+WORK_S = 0.01
+GRACE_S = 4.0
+# Requests of a search or of a desk that a target may have at the same time.
+CONNECTIONS_MAX = 64
+READY_TIMEOUT_S = 15.0
+# Ample for the start of an interpreter beside other processes.
+INTERPRETER_START_S = 0.5
+
+
+class Gateway:
+    """One gateway process and its path to the store."""
+
+    def __init__(self, number: int, directory: pathlib.Path) -> None:
+        self.number = number
+        self.scope = f"gateway {number}"
+        self._settings_path = directory / f"gateway-{number}.json"
+        self._log_path = directory / f"gateway-{number}.log"
+        ports = [ports_lib.free_port() for _ in range(4)]
+        self.caller, self.ready, self.operator, self.feed = (
+            f"127.0.0.1:{port}" for port in ports
+        )
+        self.process: subprocess.Popen[bytes] | None = None
+        self._started_s = 0.0
+        self.store_path: proxy_lib.Proxy | None = None
+
+    def write_settings(self, seeds: list[str]) -> None:
+        """Writes the settings file."""
+        assert self.store_path is not None
+        settings = {
+            "interface": "gateway",
+            "instance_id": f"g{self.number}",
+            "zone": ZONES[self.number % len(ZONES)],
+            "region_by_zone": {zone: f"r-{zone}" for zone in ZONES},
+            "caller_address": self.caller,
+            "readiness_address": self.ready,
+            "operator_address": self.operator,
+            "feed_address": self.feed,
+            "platform_address": f"127.0.0.1:{self.store_path.port}",
+            "seed_addresses": seeds,
+            "grace_limit_s": GRACE_S,
+            "retry_allowance_count": 52.0,
+        }
+        self._settings_path.write_text(json.dumps(settings), encoding="utf-8")
+
+    def start(self) -> None:
+        """Starts the process; its lines are appended to its log file."""
+        self._started_s = time.monotonic()
+        with self._log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "lycheerock", str(self._settings_path)],
+                stdout=log,
+                stderr=log,
+            )
+
+    @property
+    def has_started(self) -> bool:
+        """Whether the interpreter has begun to run the program.
+
+        Before that it has the default actions of signals, which no program can
+        change.
+        """
+        return time.monotonic() - self._started_s > INTERPRETER_START_S
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal to the process if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def wait_ended(self, limit_s: float) -> None:
+        """Waits for the end of the process and kills it at the limit."""
+        assert self.process is not None
+        end_s = time.monotonic() + limit_s
+        while self.process.poll() is None and time.monotonic() < end_s:
+            await asyncio.sleep(0.02)
+        if self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
+    async def is_ready(self, session: aiohttp.ClientSession) -> bool:
+        """Asks the process whether it takes requests."""
+        try:
+            async with session.get(
+                f"http://{self.ready}/readyz",
+                timeout=aiohttp.ClientTimeout(total=0.5),
+            ) as response:
+                return response.status == 200
+        except (TimeoutError, aiohttp.ClientError):
+            # A process that is down or paused is not ready.
+            return False
+
+
+class Deployment:
+    """Store, targets and gateways; everything listens on loopback."""
+
+    def __init__(
+        self, directory: pathlib.Path, gateway_count: int, seed: int
+    ) -> None:
+        self.journal = records.Journal()
+        self.platform = fake_platform.FakePlatform(seed)
+        self.gateways = [Gateway(n, directory) for n in range(gateway_count)]
+        self.targets: dict[str, fake_http_target.FakeHttpTarget] = {}
+        self.paths: dict[str, proxy_lib.Proxy] = {}
+        self._starts = 0
+        self._version = 0
+        self._stack = contextlib.AsyncExitStack()
+
+    async def start(self) -> None:
+        """Starts everything and waits until all gateways are ready."""
+        store = aiohttp.test_utils.TestServer(self.platform.build())
+        await store.start_server()
+        self._stack.push_async_callback(store.close)
+        for service in (*DESKS, *SHARD_SETS[0], *SHARD_SETS[1]):
+            for zone in ZONES:
+                await self.add_target(service, zone)
+        await self.configure(DESKS[0], SHARD_SETS[0])
+        assert store.port is not None
+        for gateway in self.gateways:
+            path = proxy_lib.Proxy(store.port)
+            await path.start()
+            self._stack.push_async_callback(path.stop)
+            gateway.store_path = path
+        seeds = [gateway.feed for gateway in self.gateways[:3]]
+        for gateway in self.gateways:
+            gateway.write_settings(seeds)
+            gateway.start()
+        await self.wait_ready()
+
+    async def wait_ready(self) -> None:
+        """Waits until every gateway is ready.
+
+        Raises:
+          TimeoutError: One is not ready in time.
+        """
+        end_s = time.monotonic() + READY_TIMEOUT_S
+        async with aiohttp.ClientSession() as session:
+            for gateway in self.gateways:
+                while not await gateway.is_ready(session):
+                    if time.monotonic() > end_s:
+                        raise TimeoutError(f"{gateway.scope} is not ready")
+                    await asyncio.sleep(0.05)
+
+    async def stop(self) -> None:
+        """Ends all processes that this deployment has started."""
+        for gateway in self.gateways:
+            if gateway.process is not None:
+                gateway.send(signal.SIGCONT)
+                gateway.process.kill()
+                gateway.process.wait()
+        for path in self.paths.values():
+            await path.stop()
+        for target in self.targets.values():
+            await target.stop()
+        await self.platform.forget_history()
+        await self._stack.aclose()
+
+    async def add_target(self, service: str, zone: str, port: int = 0) -> str:
+        """Starts a target, lists it and returns its id.
+
+        Args:
+          service: Its service.
+          zone: Its availability zone.
+          port: Port of a target that has ended, to reuse its address.
+        """
+        self._starts += 1
+        name = f"{service}-{self._starts}"
+        body = self._starts.to_bytes(16, "big") * (
+            1 if "desk" in service else 2
+        )
+        target = fake_http_target.FakeHttpTarget(name, body)
+        target.delay_s = WORK_S
+        await target.start(port)
+        self.targets[name] = target
+        path = proxy_lib.Proxy(target.port)
+        await path.start()
+        self.paths[name] = path
+        await self.list_target(name, zone, "ready")
+        return name
+
+    async def list_target(self, name: str, zone: str, state: str) -> None:
+        """Writes the entry of a target, as the target itself would."""
+        spec: dict[str, Any] = {
+            "service": name.partition("-")[0],
+            "address": f"127.0.0.1:{self.paths[name].port}",
+            "zone": zone,
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "warmup_left_ms": 0,
+            "seq": 1,
+            "born": self._starts,
+        }
+        await self.platform.store("servers", name, spec)
+
+    async def configure(self, desk: str, shards: tuple[str, ...]) -> None:
+        """Puts a configuration in force."""
+        self._version += 2
+        common = {"host": HOST, "timeout_ms": 1_000, "max_attempts": 2}
+        forward = common | {"slo_ms": 200, "service": desk}
+        routes = [
+            forward | {"name": "safe", "path_prefix": "/safe/", "kind": "safe"},
+            forward
+            | {"name": "unsafe", "path_prefix": "/unsafe/", "kind": "unsafe"},
+            common
+            | {
+                "name": "search",
+                "path_prefix": "/search/",
+                "kind": "safe",
+                "slo_ms": 150,
+                "gather": list(shards),
+                "top_k": 3,
+                "min_shard_share": 0.5,
+            },
+        ]
+        names = {*DESKS, *SHARD_SETS[0], *SHARD_SETS[1]}
+        services = [
+            {"name": n, "health_path": "/h", "max_conns": CONNECTIONS_MAX}
+            for n in sorted(names)
+        ]
+        # Known to the judge before any gateway can apply it.
+        version = records.Version(desk, shards, time.monotonic())
+        self.journal.versions.append(version)
+        await self.platform.store(
+            "config",
+            "main",
+            {
+                "version": self._version,
+                "routes": routes,
+                "services": services,
+                "limits": {"max_body_bytes": 1000, "idle_timeout_ms": 15000},
+            },
+        )
--- a/packages/daemon/src/lycheerock/__main__.py
+++ b/packages/daemon/src/lycheerock/__main__.py
@@ -1,5 +1,13 @@
 """Command layer of the daemon."""
 
+# The default action would end a process that is asked to reload before it has
+# a handler, so this precedes the imports, which take most of a start. The
+# settings are read afterwards.
+import signal
+
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+# ruff: noqa: E402
 from collections.abc import Callable
 import importlib
 import os
--- a/packages/daemon/src/lycheerock/_internal/gateway/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/daemon.py
@@ -190,6 +190,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        # Signals were ignored since the settings were read.
+        self._reload()
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(self._platform.close)
             server = server_lib.GatewayServer(
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -7,7 +7,6 @@
 import contextlib
 import os
 import pathlib
-import socket
 import time
 from typing import Any
 
@@ -17,6 +16,7 @@
 
 from lycheerock._internal.gateway import daemon as daemon_lib
 from lycheerock._internal.lifecycle import log_stream
+from lycheerock_bench import ports
 from lycheerock_bench._internal import fake_http_target
 from lycheerock_bench._internal import fake_platform
 from lycheerock_model import gateway_settings
@@ -29,13 +29,6 @@
     return value.to_bytes(16, "big")
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 def search_route(shards: list[str], **changes: Any) -> dict[str, Any]:
     return {
         "name": "search",
@@ -73,7 +66,7 @@
         self.version = 0
         self.daemon: daemon_lib.GatewayDaemon | None = None
         self.task: asyncio.Task[int] | None = None
-        self.caller_port = free_port()
+        self.caller_port = ports.free_port()
         self._stack = contextlib.AsyncExitStack()
         self.session: aiohttp.ClientSession | None = None
         self._store_port = 0
@@ -159,9 +152,9 @@
                 "zone": "z1",
                 "region_by_zone": {"z1": "r1", "z2": "r2"},
                 "caller_address": f"127.0.0.1:{self.caller_port}",
-                "readiness_address": f"127.0.0.1:{free_port()}",
-                "operator_address": f"127.0.0.1:{free_port()}",
-                "feed_address": f"127.0.0.1:{free_port()}",
+                "readiness_address": f"127.0.0.1:{ports.free_port()}",
+                "operator_address": f"127.0.0.1:{ports.free_port()}",
+                "feed_address": f"127.0.0.1:{ports.free_port()}",
                 "platform_address": f"127.0.0.1:{self._store_port}",
                 "grace_limit_s": 6.0,
                 "retry_allowance_count": 80.0,
--- a/tests/test_gateway_lifecycle.py
+++ b/tests/test_gateway_lifecycle.py
@@ -7,6 +7,7 @@
 from lycheerock._internal.discovery import instances as instances_lib
 from lycheerock._internal.discovery import targets as targets_lib
 from lycheerock._internal.gateway import stopping
+from lycheerock_bench import ports
 from lycheerock_bench._internal import fake_platform
 
 _DOWN = fake_platform.Faults(down=True)
@@ -308,7 +309,7 @@
         # calls to the store by each of them.
         async def test(world: gateway_world.World) -> None:
             await one_target(world)
-            address = f"127.0.0.1:{gateway_world.free_port()}"
+            address = f"127.0.0.1:{ports.free_port()}"
             await world.platform.store(
                 "gateways", "g0", {"renewed": "x", "feed_address": address}
             )
