Avoid targets that refuse, and forget failures with time

A refusal only kept a target out for 0.1 s, so first attempts went back to the near one, 14% were refused, the budget ran dry and searches failed with too few shards. A share of failures, once gained, was only lost by further replies, so a target that had failed was never tried again unless the others became as bad.

Change: refusals count into the share of failures with weight 0.5; the share decays with time like slowness, and the decay grows while the fault lasts.

--- a/packages/bench/src/lycheerock_bench/_internal/soak/deployment.py
+++ b/packages/bench/src/lycheerock_bench/_internal/soak/deployment.py
@@ -35,14 +35,15 @@
 class Gateway:
     """One gateway process and its path to the store."""
 
-    def __init__(self, number: int, directory: pathlib.Path) -> None:
+    def __init__(
+        self, number: int, directory: pathlib.Path, first_port: int
+    ) -> None:
         self.number = number
         self.scope = f"gateway {number}"
         self._settings_path = directory / f"gateway-{number}.json"
         self._log_path = directory / f"gateway-{number}.log"
-        ports = [ports_lib.free_port() for _ in range(4)]
         self.caller, self.ready, self.operator, self.feed = (
-            f"127.0.0.1:{port}" for port in ports
+            f"127.0.0.1:{first_port + offset}" for offset in range(4)
         )
         self.process: subprocess.Popen[bytes] | None = None
         self._started_s = 0.0
@@ -122,7 +123,13 @@
     ) -> None:
         self.journal = records.Journal()
         self.platform = fake_platform.FakePlatform(seed)
-        self.gateways = [Gateway(n, directory) for n in range(gateway_count)]
+        self._claim, port = ports_lib.claim_block(
+            ports_lib.PORT_MIN, ports_lib.PORT_MAX, 1 + 4 * gateway_count
+        )
+        self.gateways = [
+            Gateway(n, directory, port + 1 + 4 * n)
+            for n in range(gateway_count)
+        ]
         self.targets: dict[str, fake_http_target.FakeHttpTarget] = {}
         self.paths: dict[str, proxy_lib.Proxy] = {}
         self._starts = 0
@@ -175,6 +182,7 @@
             await path.stop()
         for target in self.targets.values():
             await target.stop()
+        self._claim.close()
         await self.platform.forget_history()
         await self._stack.aclose()
 
--- a/packages/bench/src/lycheerock_bench/harness.py
+++ b/packages/bench/src/lycheerock_bench/harness.py
@@ -15,6 +15,7 @@
 
 import aiohttp
 
+from lycheerock_bench import ports
 from lycheerock_bench._internal import demo
 from lycheerock_bench._internal import deployments
 
@@ -53,7 +54,9 @@
         instance_count_max: int | None = None,
     ):
         self.directory = directory
-        self._claim, first_port = _claim_ports()
+        self._claim, first_port = ports.claim_block(
+            _PORT_MIN, _PORT_MAX, _BLOCK_SIZE
+        )
         self.platform = f"127.0.0.1:{first_port + 1}"
         zones = list(LOCAL_ZONES)
         self.bundle = deployments.build_bundle(
@@ -330,21 +333,5 @@
     return {"Authorization": f"Bearer {deployments.CALLER_TOKEN}"}
 
 
-def _claim_ports() -> tuple[socket.socket, int]:
-    """Claims a block of ports by listening on its first one."""
-    blocks = list(range(_PORT_MIN, _PORT_MAX - _BLOCK_SIZE, _BLOCK_SIZE))
-    random.SystemRandom().shuffle(blocks)
-    for first_port in blocks:
-        claim = socket.socket()
-        try:
-            claim.bind(("127.0.0.1", first_port))
-            claim.listen(1)
-        except OSError:
-            claim.close()
-            continue
-        return claim, first_port
-    raise RuntimeError("no free port block; stop other deployments")
-
-
 def _write(path: pathlib.Path, document: object) -> None:
     path.write_text(json.dumps(document) + "\n", encoding="utf-8")
--- a/packages/daemon/src/lycheerock/_internal/gateway/operations.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/operations.py
@@ -79,7 +79,7 @@
             "zone": target.entry.zone,
             "is_leaving": target.entry.is_leaving,
             "slowness": round(target.evidence.slowness(now_s), 2),
-            "failure_ratio": round(target.evidence.failure_ratio, 2),
+            "failure_ratio": round(target.evidence.failure_ratio(now_s), 2),
             "ejected_ms": max(
                 0, round((target.evidence.ejected_until_s - now_s) * 1000)
             ),
--- a/packages/daemon/src/lycheerock/_internal/targets/choice.py
+++ b/packages/daemon/src/lycheerock/_internal/targets/choice.py
@@ -83,7 +83,7 @@
     if overdue > STALL_RATIO:
         expected = max(expected, overdue) * STALL_FACTOR
     expected *= 1.0 + evidence.in_flight / candidate.slot_count
-    expected += FAILURE_COST * evidence.failure_ratio
+    expected += FAILURE_COST * evidence.failure_ratio(now_s)
     return expected * _FACTORS[candidate.distance]
 
 
--- a/packages/daemon/src/lycheerock/_internal/targets/evidence.py
+++ b/packages/daemon/src/lycheerock/_internal/targets/evidence.py
@@ -8,23 +8,30 @@
 SAMPLE_WEIGHT = 0.3
 SLOW_SAMPLE_WEIGHT = 0.5
 
+# Weight of a refusal. A failure may be a single lost answer; a refusal tells of
+# load, or of a target that sheds, and is likely to repeat.
+REFUSAL_WEIGHT = 0.5
+
 # A reply counts as at most this many times the usual latency, so that a pause
 # does not keep a target out for long.
 SAMPLE_MAX = 6.0
 
-# Time in which slowness decays to the expectation, so that a target which is no
-# longer chosen is tried again. It doubles each time the target is found slow
-# again, so that lasting slowness is not tried with many requests.
+# Time in which slowness and failures are forgotten, so that a target which is
+# no longer chosen is tried again. It doubles each time it is found slow or
+# failing again, so that a lasting fault is not tried with many requests.
 DECAY_S = 4.0
 DECAY_MAX_S = 16.0
 
 # Replies this many times slower than usual tell of a stall or lasting slowness.
 SLOW_RATIO = 2.5
 
-# Slow replies within this time may stem from one pause, such as a garbage
-# collection, and count as one finding.
+# Slow replies and failures within this time may stem from one pause, such as a
+# garbage collection, and count as one finding.
 PAUSE_S = 0.6
 
+# Below this share of failures a reply in time shows that a target is sound.
+SOUND_FAILURE_RATIO = 0.1
+
 # Time for which a target is left alone after failures in a row: the first
 # failure of an otherwise good target is tolerated, then the time doubles.
 EJECTION_BASE_S = 0.4
@@ -53,9 +60,10 @@
         self._slowness = expected_slowness
         self._sample_s = 0.0
         self._decay_s = DECAY_S
-        self._slow_since_s: float | None = None
+        self._bad_since_s: float | None = None
         self._failures_in_row = 0
         self._failure_ratio = 0.0
+        self._failure_s = 0.0
         self.ejected_until_s = 0.0
         self.flights: dict[int, Flight] = {}
         self._next_flight = 0
@@ -83,21 +91,24 @@
         """Takes a reply."""
         self._sample(flight_number, now_s)
         self._failures_in_row = 0
-        self._failure_ratio *= 1.0 - SAMPLE_WEIGHT
+        self._note_failure(now_s, 0.0, SAMPLE_WEIGHT)
         self.ejected_until_s = 0.0
 
     def failed(self, flight_number: int, now_s: float) -> None:
         """Takes a failure: no reply, an unreadable one or an error."""
         self.flights.pop(flight_number, None)
         self._failures_in_row += 1
-        self._failure_ratio += SAMPLE_WEIGHT * (1.0 - self._failure_ratio)
+        self._note_failure(now_s, 1.0, SAMPLE_WEIGHT)
         excess = self._failures_in_row - FAILURES_TOLERATED
         if excess > 0:
             pause_s = min(EJECTION_MAX_S, EJECTION_BASE_S * 2 ** (excess - 1))
             self.ejected_until_s = max(self.ejected_until_s, now_s + pause_s)
 
     def refused(self, flight_number: int, now_s: float, pause_s: float) -> None:
-        """Takes a refusal because of load.
+        """Takes a refusal, which most often is because of load.
+
+        A target that refuses is likely to refuse again, and each refusal costs
+        a repeated request.
 
         Args:
           flight_number: The request.
@@ -105,6 +116,7 @@
           pause_s: Time for which the target is left alone.
         """
         self.flights.pop(flight_number, None)
+        self._note_failure(now_s, 1.0, REFUSAL_WEIGHT)
         self.ejected_until_s = max(self.ejected_until_s, now_s + pause_s)
 
     def dropped(self, flight_number: int, now_s: float) -> None:
@@ -136,10 +148,17 @@
             default=0.0,
         )
 
-    @property
-    def failure_ratio(self) -> float:
-        """Recent share of failures."""
-        return self._failure_ratio
+    def failure_ratio(self, now_s: float) -> float:
+        """Recent share of failures and refusals; decays."""
+        age_s = now_s - self._failure_s
+        return self._failure_ratio * max(0.0, 1.0 - age_s / self._decay_s)
+
+    def _note_failure(self, now_s: float, value: float, weight: float) -> None:
+        current = self.failure_ratio(now_s)
+        self._failure_ratio = current + weight * (value - current)
+        self._failure_s = now_s
+        if value:
+            self._lengthen_decay(now_s)
 
     def _sample(self, flight_number: int, now_s: float) -> None:
         flight = self.flights.pop(flight_number, None)
@@ -150,14 +169,15 @@
         weight = SLOW_SAMPLE_WEIGHT if ratio > current else SAMPLE_WEIGHT
         self._slowness = current + weight * (ratio - current)
         self._sample_s = now_s
-        self._adapt_decay(ratio, now_s)
-
-    def _adapt_decay(self, ratio: float, now_s: float) -> None:
-        if ratio < SLOW_RATIO:
-            self._slow_since_s = None
+        if ratio >= SLOW_RATIO:
+            self._lengthen_decay(now_s)
+        elif self.failure_ratio(now_s) < SOUND_FAILURE_RATIO:
+            self._bad_since_s = None
             self._decay_s = DECAY_S
-        elif self._slow_since_s is None:
-            self._slow_since_s = now_s
-        elif now_s - self._slow_since_s > PAUSE_S:
-            self._slow_since_s = now_s
+
+    def _lengthen_decay(self, now_s: float) -> None:
+        if self._bad_since_s is None:
+            self._bad_since_s = now_s
+        elif now_s - self._bad_since_s > PAUSE_S:
+            self._bad_since_s = now_s
             self._decay_s = min(DECAY_MAX_S, 2.0 * self._decay_s)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -144,6 +144,28 @@
             shard.now_s += 0.1
         assert chosen <= 8
 
+    def test_shedding_target_gets_few_requests(self) -> None:
+        # Pattern: the near target refuses every second request for ten seconds
+        # and is sound again. Guards against first attempts that are refused
+        # and use up the budget, and against a target that is never tried again.
+        shard = Shard()
+        refused = 0
+        for number in range(200):
+            name = shard.choose()
+            assert name is not None
+            evidence = shard.evidence(name)
+            flight = evidence.started(shard.now_s, USUAL_S)
+            if name == "near" and number % 2:
+                refused += 1
+                evidence.refused(flight, shard.now_s, 0.1)
+            else:
+                latency_s = shard.latency_s[name]
+                evidence.answered(flight, shard.now_s + latency_s)
+            shard.now_s += 0.05
+        assert refused <= 20
+        shard.serve(160)
+        assert shard.serve(20)["near"] >= 16
+
     def test_all_targets_failing_are_still_tried(self) -> None:
         # Pattern: every target of a shard went dark and came back. Guards
         # against a shard that nobody asks any more.
