--- a/packages/daemon/src/lycheerock/_internal/bundles/catalog.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/catalog.py
@@ -7,6 +7,7 @@
 from returns import result
 
 from lycheerock._internal.bundles import records
+from lycheerock._internal.bundles import settled_writes
 from lycheerock._internal.platform import client as client_lib
 from lycheerock_model import exceptions
 
@@ -27,6 +28,7 @@
 
     def __init__(self, platform: client_lib.PlatformClient):
         self._platform = platform
+        self._writes = settled_writes.SettledWrites(platform)
 
     async def numbers(self) -> Outcome[tuple[int, ...]]:
         """Returns the numbers of all proposals."""
@@ -56,7 +58,7 @@
         self, rollout: records.Rollout, if_version: int, nonce: str
     ) -> Outcome[VersionedRollout]:
         """Replaces `rollout/current` if its version is `if_version`."""
-        written = await self._platform.update(
+        written = await self._writes.update(
             records.ROLLOUT,
             records.CURRENT,
             msgspec.to_builtins(rollout),
@@ -131,8 +133,10 @@
     ) -> Outcome[client_lib.Object]:
         """Creates `bundles/N`; a ConflictError names who was first."""
         number = proposal.number
-        created = await self._platform.create(
-            records.BUNDLES, str(number), msgspec.to_builtins(proposal)
+        created = await self._writes.create(
+            records.BUNDLES,
+            str(number),
+            msgspec.to_builtins(proposal),
         )
         if _is_conflict(created):
             conflict = await self.describe_conflict(number, number + 1)
@@ -158,8 +162,10 @@
     ) -> Outcome[client_lib.Object]:
         """Creates `signoffs/N`; a ConflictError names an earlier signer."""
         number = signoff.number
-        created = await self._platform.create(
-            records.SIGNOFFS, str(number), msgspec.to_builtins(signoff)
+        created = await self._writes.create(
+            records.SIGNOFFS,
+            str(number),
+            msgspec.to_builtins(signoff),
         )
         if not _is_conflict(created):
             return created.alt(_widen)
--- a/packages/daemon/src/lycheerock/_internal/discovery/instances.py
+++ b/packages/daemon/src/lycheerock/_internal/discovery/instances.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import random
+import secrets
 import time
 from typing import Any
 
@@ -19,6 +20,9 @@
 KIND = "gateways"
 _FEED_ADDRESS = "feed_address"
 
+# Enough that a renewed entry differs from all earlier ones.
+_NONCE_BYTES = 8
+
 # Time until the second reading, when instances that started together have all
 # written their entry, and between later ones. A joining instance is known to
 # all within one period; until then the reserve covers it.
@@ -97,7 +101,7 @@
 
     async def _renew(self) -> None:
         value = {
-            "renewed": client_lib.new_nonce(),
+            "renewed": secrets.token_hex(_NONCE_BYTES),
             _FEED_ADDRESS: self._feed_address,
         }
         written = await self._platform.create(KIND, self._instance_id, value)
@@ -108,7 +112,7 @@
             found = await self._platform.get(KIND, self._instance_id)
             known = found.value_or(None)
             if known is not None:
-                written = await self._platform.update(
+                written = await self._platform.write(
                     KIND, self._instance_id, value, known.version
                 )
         if isinstance(written, result.Failure):
--- a/packages/daemon/src/lycheerock/_internal/platform/client.py
+++ b/packages/daemon/src/lycheerock/_internal/platform/client.py
@@ -4,18 +4,15 @@
 counter of the whole store; a watch returns what changed after a revision.
 """
 
-import asyncio
 import collections
 from collections.abc import Mapping
 import dataclasses
-import secrets
 from typing import Any
 
 import aiohttp
 import msgspec
 from returns import result
 
-from lycheerock._internal.lifecycle import backoff as backoff_lib
 from lycheerock._internal.platform import store_wire
 from lycheerock_model import exceptions
 
@@ -27,8 +24,6 @@
 WATCH_MARGIN_S = 0.7
 # Own kind of object: one for each instance.
 INSTANCE_KIND = "instances"
-RESOLVE_ATTEMPTS_MAX = 4
-NONCE_BYTES = 12
 
 
 @dataclasses.dataclass(frozen=True)
@@ -101,6 +96,18 @@
     zone: str
 
 
+class StoredConflictError(exceptions.ConflictError):
+    """Another writer was first.
+
+    Attributes:
+      stored: The object as it is.
+    """
+
+    def __init__(self, message: str, remedy: str, stored: Object) -> None:
+        super().__init__(message, remedy)
+        self.stored = stored
+
+
 Found = result.Result[Object | None, exceptions.PlatformError]
 Written = result.Result[
     Object, exceptions.ConflictError | exceptions.PlatformError
@@ -196,15 +203,17 @@
                 return page
             wire = page.unwrap()
             revision = min(revision or wire.at_rev, wire.at_rev)
-            found = [
-                o
-                for o in map(store_wire.read_object, wire.items)
-                if o is not None
-            ]
-            values.update((o.meta.name, o.spec) for o in found)
-            if not wire.more or not found:
+            for item in wire.items:
+                found = store_wire.read_object(item)
+                if found is not None:
+                    values[found.meta.name] = found.spec
+            if not wire.more:
                 return result.Success(Listing(values, revision))
-            after = found[-1].meta.name
+            # Unreadable objects are passed over, but not what comes after them.
+            names = [n for n in map(store_wire.read_name, wire.items) if n]
+            if not names:
+                return result.Failure(_unlistable(kind, after))
+            after = names[-1]
 
     async def _list_page(
         self, kind: str, after: str, may_be_stale: bool
@@ -283,69 +292,32 @@
     async def create(
         self, kind: str, name: str, value: Mapping[str, Any]
     ) -> Written:
-        """Creates an object that must not exist; see `update`."""
-        return await self.update(kind, name, value, 0)
+        """Creates an object that must not exist; see `write`."""
+        return await self.write(kind, name, value, 0)
 
-    async def update(
-        self,
-        kind: str,
-        name: str,
-        value: Mapping[str, Any],
-        if_version: int,
-        nonce: str | None = None,
+    async def write(
+        self, kind: str, name: str, value: Mapping[str, Any], if_version: int
     ) -> Written:
-        """Replaces an object if its version is still `if_version`.
-
-        A write without a reply may take effect later, so the same write is
-        repeated with the same nonce: at most one of the copies takes effect.
+        """Replaces an object if its version is still `if_version`, in one call.
 
         Args:
           kind: Kind of the object.
           name: Name within the kind.
-          value: The new value; a nonce is added to it.
+          value: The new value.
           if_version: Version that the write replaces; 0 to create.
-          nonce: Nonce of an earlier call with an unknown outcome.
 
         Returns:
-          The stored object; a ConflictError if another writer was first; an
-          OutcomeUnknownError if the write may have taken effect; any other
-          PlatformError if it did not.
+          The stored object; a ConflictError with the stored object if another
+          writer was first; an OutcomeUnknownError if the write may have taken
+          effect or may do so later; any other PlatformError if it did not.
         """
-        nonce = nonce or new_nonce()
-        body = msgspec.json.encode({**value, "nonce": nonce})
-        backoff = backoff_lib.Backoff()
-        outcome = await self._put(kind, name, body, if_version, nonce)
-        for _ in range(RESOLVE_ATTEMPTS_MAX):
-            if not _is_unknown(outcome):
-                return outcome
-            resolved = await self._read_back(kind, name, if_version, nonce)
-            if resolved is not None:
-                return resolved
-            again = await self._put(kind, name, body, if_version, nonce)
-            if _is_definite(again):
-                return again
-            await asyncio.sleep(backoff.next_s() / 4)
-        return outcome
-
-    async def _read_back(
-        self, kind: str, name: str, if_version: int, nonce: str
-    ) -> Written | None:
-        found = await self.get(kind, name)
-        stored = found.value_or(None)
-        if stored is None or stored.version <= if_version:
-            return None
-        return _settle(kind, name, stored, nonce)
-
-    async def _put(
-        self, kind: str, name: str, body: bytes, if_version: int, nonce: str
-    ) -> Written:
         self.call_counts["create" if if_version == 0 else "update"] += 1
         document = msgspec.json.encode(
             {
                 "meta": {"name": name, "revision": if_version, "finalizers": []}
                 if if_version
                 else {"name": name},
-                "spec": msgspec.Raw(body),
+                "spec": value,
             }
         )
         method, path = (
@@ -360,7 +332,7 @@
             ) as response:
                 if response.status == 409:
                     stored = _decode(await response.read())
-                    return _settle(kind, name, stored, nonce)
+                    return result.Failure(conflict(kind, name, stored))
                 response.raise_for_status()
                 return result.Success(_decode(await response.read()))
         except aiohttp.ClientConnectorError as error:
@@ -381,34 +353,13 @@
 _CALL_ERRORS = (TimeoutError, aiohttp.ClientError, OSError, msgspec.DecodeError)
 
 
-def new_nonce() -> str:
-    """Returns a value that names one write."""
-    return secrets.token_hex(NONCE_BYTES)
-
-
-def _settle(kind: str, name: str, stored: Object, nonce: str) -> Written:
-    if isinstance(stored.value, dict) and stored.value.get("nonce") == nonce:
-        return result.Success(stored)
-    return result.Failure(
-        exceptions.ConflictError(
-            f"another writer changed {kind}/{name} first "
-            f"(version {stored.version})",
-            "read it and decide again",
-        )
-    )
-
-
-def _is_unknown(outcome: Written) -> bool:
-    return isinstance(outcome, result.Failure) and isinstance(
-        outcome.failure(), exceptions.OutcomeUnknownError
-    )
-
-
-def _is_definite(outcome: Written) -> bool:
-    # After a write with an unknown outcome, a refused connection tells nothing
-    # about the earlier copy.
-    return not isinstance(outcome, result.Failure) or isinstance(
-        outcome.failure(), exceptions.ConflictError
+def conflict(kind: str, name: str, stored: Object) -> StoredConflictError:
+    """Returns the error of a write that another one preceded."""
+    return StoredConflictError(
+        f"another writer changed {kind}/{name} first "
+        f"(version {stored.version})",
+        "read it and decide again",
+        stored,
     )
 
 
@@ -420,6 +371,13 @@
     )
 
 
+def _unlistable(kind: str, after: str) -> exceptions.PlatformError:
+    return exceptions.PlatformError(
+        f"the page of {kind} after {after!r} names no object to go on from",
+        "remove the unreadable objects from the platform",
+    )
+
+
 def _history_gone(
     kind: str, after_revision: int
 ) -> exceptions.HistoryGoneError:
--- a/packages/daemon/src/lycheerock/_internal/platform/store_wire.py
+++ b/packages/daemon/src/lycheerock/_internal/platform/store_wire.py
@@ -52,3 +52,10 @@
     except msgspec.ValidationError as error:
         _LOG.warning("store_object_unreadable", error=str(error))
         return None
+
+
+def read_name(item: Any) -> str | None:
+    """Returns the name of an object, also of one that is else unreadable."""
+    meta = item.get("meta") if isinstance(item, dict) else None
+    name = meta.get("name") if isinstance(meta, dict) else None
+    return name if isinstance(name, str) else None
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -6,9 +6,11 @@
 import random
 
 import aiohttp.test_utils
+import aiohttp.web
 import pytest
 from returns import result
 
+from lycheerock._internal.bundles import settled_writes
 from lycheerock._internal.lifecycle import backoff
 from lycheerock._internal.platform import client as client_lib
 from lycheerock_bench._internal import fake_platform
@@ -33,6 +35,12 @@
     asyncio.run(run())
 
 
+def _writes(
+    client: client_lib.PlatformClient,
+) -> settled_writes.SettledWrites:
+    return settled_writes.SettledWrites(client)
+
+
 class TestWrites:
     """The outcome of a write is known or said to be unknown."""
 
@@ -43,11 +51,13 @@
         # Guards against a lost reply that makes the winner take its own write
         # for another's, or the loser take the winner's for its own.
         async def use(client: client_lib.PlatformClient) -> None:
-            first = await client.create("bundles", "2", {"by": "ana"})
-            second = await client.create("bundles", "2", {"by": "ana"})
+            first = await _writes(client).create("bundles", "2", {"by": "ana"})
+            second = await _writes(client).create("bundles", "2", {"by": "ana"})
             assert first.unwrap().version == 1
             assert isinstance(second.failure(), exceptions.ConflictError)
-            updated = await client.update("bundles", "2", {"by": "luc"}, 1)
+            updated = await _writes(client).update(
+                "bundles", "2", {"by": "luc"}, 1
+            )
             assert updated.unwrap().version == 2
 
         run_with_platform(
@@ -57,7 +67,7 @@
     def test_outage_after_a_write_leaves_the_outcome_unknown(self) -> None:
         # Guards against reporting a write as failed that has taken effect.
         async def use(client: client_lib.PlatformClient) -> None:
-            written = await client.create("bundles", "2", {})
+            written = await _writes(client).create("bundles", "2", {})
             assert isinstance(written, result.Failure)
             error = written.failure()
             assert isinstance(error, exceptions.OutcomeUnknownError)
@@ -70,7 +80,7 @@
         # would stop admission everywhere.
         async def use() -> None:
             client = client_lib.PlatformClient("127.0.0.1:9", "i0")
-            written = await client.create("bundles", "2", {})
+            written = await _writes(client).create("bundles", "2", {})
             error = written.failure()
             assert isinstance(error, exceptions.PlatformError)
             assert not isinstance(error, exceptions.OutcomeUnknownError)
@@ -79,13 +89,62 @@
         asyncio.run(use())
 
 
+class TestListing:
+    """A list is whole or fails."""
+
+    def test_page_of_unreadable_objects_does_not_end_the_list(self) -> None:
+        # Guards against targets that are missed because another writer's
+        # entries fill a page before theirs.
+        pages = {
+            "": _page([{"meta": {"name": "a", "revision": "x"}}], more=True),
+            "a": _page([{"meta": {"name": "b", "revision": 3}}], more=False),
+        }
+        found = _list(pages)
+        assert set(found.unwrap().values) == {"b"}
+
+    def test_list_that_cannot_go_on_fails(self) -> None:
+        # Guards against a part of a list that is taken for the whole, which
+        # would remove all targets after it.
+        found = _list({"": _page([None], more=True)})
+        assert isinstance(found.failure(), exceptions.PlatformError)
+
+
+def _page(items: list[object], *, more: bool) -> dict[str, object]:
+    return {"items": items, "more": more, "at_rev": 9}
+
+
+def _list(
+    pages: dict[str, dict[str, object]],
+) -> result.Result[client_lib.Listing, exceptions.PlatformError]:
+    """Lists a kind from a store that serves `pages` by their first name."""
+
+    async def serve(request: aiohttp.web.Request) -> aiohttp.web.Response:
+        return aiohttp.web.json_response(pages[request.query.get("after", "")])
+
+    async def run() -> result.Result[
+        client_lib.Listing, exceptions.PlatformError
+    ]:
+        app = aiohttp.web.Application()
+        app.router.add_get("/objects/servers", serve)
+        server = aiohttp.test_utils.TestServer(app)
+        await server.start_server()
+        client = client_lib.PlatformClient(f"127.0.0.1:{server.port}", "i0")
+        try:
+            return await client.list_objects("servers")
+        finally:
+            await client.close()
+            await server.close()
+
+    return asyncio.run(run())
+
+
 class TestCallCounts:
     """Every call counts, by kind."""
 
     def test_kinds_are_counted(self) -> None:
         # Guards against calls that the platform budget does not see.
         async def use(client: client_lib.PlatformClient) -> None:
-            await client.create("rollout", "current", {})
+            await _writes(client).create("rollout", "current", {})
             await client.get("rollout", "current")
             await client.watch("rollout", "current", 0)
             await client.list_instances()
