Let an instance that lost the store take a feed of any other

Change: an instance that loses the store asks all others at once; only one that reads the store gives a feed, so lost instances cannot confirm an old state to each other. Calls while the store is away, which are paid for, follow each other after up to 1.5 s instead of 0.8 s.

--- a/packages/daemon/src/lycheerock/_internal/discovery/following.py
+++ b/packages/daemon/src/lycheerock/_internal/discovery/following.py
@@ -19,10 +19,11 @@
 # succession are read together, since each call to the store is paid for.
 PACE_S = 0.5
 
-# First and longest pause after a failed call. The longest is well under the
-# time in which a configuration must be in force once the store is back.
+# First and longest pause after a failed call, which is paid for as well. The
+# longest is well under the time after which bounds hold again once the store is
+# back.
 RETRY_FIRST_S = 0.1
-RETRY_MAX_S = 0.8
+RETRY_MAX_S = 1.5
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/daemon/src/lycheerock/_internal/feed/ranking.py
+++ b/packages/daemon/src/lycheerock/_internal/feed/ranking.py
@@ -21,3 +21,16 @@
     """
     own = _key(own_address)
     return tuple(sorted((a for a in addresses if _key(a) < own), key=_key))
+
+
+def others(own_address: str, addresses: Iterable[str]) -> tuple[str, ...]:
+    """Returns all instances but this one, in the same order.
+
+    An instance that has lost the store may ask any of them, since only one that
+    reads the store gives a feed.
+
+    Args:
+      own_address: Address of this instance.
+      addresses: Addresses of all instances.
+    """
+    return tuple(sorted((a for a in addresses if a != own_address), key=_key))
--- a/packages/daemon/src/lycheerock/_internal/feed/subscription.py
+++ b/packages/daemon/src/lycheerock/_internal/feed/subscription.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Mapping
+import contextlib
 import random
 import time
 
@@ -66,16 +67,29 @@
         self._seeds = [a for a in seed_addresses if a != own_address]
         self._is_publishing = is_publishing
         self._candidates: tuple[str, ...] = ()
+        self._others: tuple[str, ...] = ()
+        self._is_store_lost = asyncio.Event()
         self._is_list_new = False
         self._are_candidates_known = asyncio.Event()
         self._avoid_until_s: dict[str, float] = {}
         self.publisher: str | None = None
+        for follower in followers.values():
+            follower.observe(
+                following.Observers(
+                    lambda: None,
+                    lambda _changes: None,
+                    self._is_store_lost.set,
+                )
+            )
 
     def take_instances(self, address_by_name: Mapping[str, str]) -> None:
         """Takes the instances that may publish, with their addresses."""
         candidates = ranking.before(self._own_address, address_by_name.values())
         self._is_list_new = candidates != self._candidates
         self._candidates = candidates
+        self._others = ranking.others(
+            self._own_address, address_by_name.values()
+        )
         self._are_candidates_known.set()
 
     async def run(self) -> None:
@@ -87,13 +101,22 @@
             if address is not None:
                 await self._follow(address)
             if address is None or address in self._avoid_until_s:
-                await asyncio.sleep(random.uniform(PAUSE_MIN_S, PAUSE_MAX_S))
+                await self._pause()
+
+    async def _pause(self) -> None:
+        """Waits for a while, or until the store is lost."""
+        self._is_store_lost.clear()
+        pause_s = random.uniform(PAUSE_MIN_S, PAUSE_MAX_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                await self._is_store_lost.wait()
 
     def _choose(self) -> str | None:
         if self._is_publishing():
             return None
         now_s = time.monotonic()
-        for address in self._candidates:
+        is_connected = all(f.is_connected for f in self._followers.values())
+        for address in self._candidates if is_connected else self._others:
             if self._avoid_until_s.get(address, 0.0) <= now_s:
                 return address
         return None
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -71,6 +71,7 @@
         )
         # The order by hash is tested by itself; here the test sets it.
         self.subscription._candidates = addresses
+        self.subscription._others = addresses
         self.subscription._are_candidates_known.set()
         self.tasks.append(asyncio.create_task(self.subscription.run()))
 
@@ -225,6 +226,46 @@
         run(test)
 
 
+class TestInstanceWithoutTheStore:
+    """An instance that the store turns away asks any other."""
+
+    def test_first_instance_takes_a_feed_of_a_later_one(self) -> None:
+        # Pattern: the store turns some instances away and serves the others.
+        # Guards against routes and targets of the time before.
+        async def test(world: World) -> None:
+            first, later = await world.add("first"), await world.add("later")
+            first.subscribe(())
+            assert first.subscription is not None
+            first.subscription._others = (later.address,)
+            await wait_for(lambda: first.knows("servers", "a"))
+            world.platform.set_faults(
+                fake_platform.Faults(down=True, client="first")
+            )
+            await wait_for(first.is_fed)
+            await world.platform.store("servers", "b", {"state": "ready"})
+            await wait_for(lambda: first.knows("servers", "b"), 1.0)
+
+        run(test)
+
+    def test_instances_that_all_lost_it_do_not_feed_each_other(self) -> None:
+        # Guards against instances that confirm an old state to each other.
+        async def test(world: World) -> None:
+            first, second = await world.add("first"), await world.add("second")
+            await wait_for(lambda: second.knows("servers", "a"))
+            first.subscribe((second.address,))
+            second.subscribe((first.address,))
+            world.platform.set_faults(fake_platform.Faults(down=True))
+            await asyncio.sleep(WAIT_S + 2.0)
+            assert not first.is_fed()
+            assert not second.is_fed()
+            world.platform.set_faults(fake_platform.Faults())
+            await world.platform.store("servers", "b", {"state": "ready"})
+            await wait_for(lambda: first.knows("servers", "b"))
+            await wait_for(lambda: second.knows("servers", "b"))
+
+        run(test)
+
+
 class TestOrder:
     """Instances gather behind the first one that lives."""
 
