Remember targets that went silent, hedge early while the budget is full

Change: no answer for 0.4 s and six usual latencies is a failure, remembered for 8 s. While the budget of a service is nearly full its hedges come at a quarter of the objective. Running attempts are logged with their age.

--- a/packages/daemon/src/lycheerock/_internal/gateway/delivery.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/delivery.py
@@ -32,6 +32,8 @@
 # connection and what it teaches about the target are kept.
 LINGER_S = 0.3
 
+_NEVER_S = float("inf")
+
 _End = messages.AttemptEnd
 _Cause = messages.AttemptCause
 _Kind = messages.ReplyKind
@@ -52,6 +54,7 @@
       attempts_max: Targets that it may be sent to.
       deadline_s: Monotonic time at which the caller gives up.
       hedge_delay_s: Time after which a second target is asked as well, or None.
+      early_hedge_delay_s: The same while the budget is nearly full, or None.
     """
 
     request: messages.ForwardedRequest
@@ -61,6 +64,7 @@
     attempts_max: int
     deadline_s: float
     hedge_delay_s: float | None
+    early_hedge_delay_s: float | None = None
 
 
 class Deliverer:
@@ -125,6 +129,10 @@
         target_id = choice.choose(candidates, now_s, tried_ids)
         return None if target_id is None else self._registry.get(target_id)
 
+    def may_hedge_early(self, order: Order) -> bool:
+        """Tells whether the budget allows a hedge before its usual time."""
+        return self._budgets.has_plenty(order.service)
+
     def take_token(self, order: Order, *, for_hedge: bool) -> bool:
         """Takes the right to send a request once more."""
         return self._budgets.take(order.service, for_hedge=for_hedge)
@@ -229,7 +237,9 @@
         self._tried_ids: set[str] = set()
         self._failure: messages.TargetReply | None = None
         self._problem = messages.Problem.NO_TARGET
-        self._hedge_s = _hedge_time_s(order, time.monotonic())
+        now_s = time.monotonic()
+        self._hedge_s = _hedge_time_s(order, order.hedge_delay_s, now_s)
+        self._early_s = _hedge_time_s(order, order.early_hedge_delay_s, now_s)
 
     async def run(self) -> messages.Delivered:
         """Sends attempts until one succeeds or none may follow.
@@ -248,10 +258,8 @@
             now_s = time.monotonic()
             if now_s >= self._order.deadline_s:
                 return self._end(messages.Problem.DEADLINE)
-            if now_s >= self._hedge_s:
-                self._hedge_s = float("inf")
-                self._hedge()
-            until_s = min(self._order.deadline_s, self._hedge_s)
+            self._hedge_if_due(now_s)
+            until_s = min(self._order.deadline_s, self._hedge_s, self._early_s)
             done, _ = await asyncio.wait(
                 self._running,
                 timeout=max(0.0, until_s - time.monotonic()),
@@ -277,8 +285,14 @@
         self._running.clear()
 
     def snapshot(self) -> tuple[messages.AttemptRecord, ...]:
-        """Returns the attempts so far."""
-        return tuple(dataclasses.replace(record) for record in self._records)
+        """Returns the attempts so far, running ones with their age."""
+        now_s = time.monotonic()
+        return tuple(
+            dataclasses.replace(record, elapsed_s=now_s - record.start_s)
+            if record.end == _End.RUNNING
+            else dataclasses.replace(record)
+            for record in self._records
+        )
 
     def _end(self, problem: messages.Problem) -> messages.Delivered:
         return messages.Delivered(self._failure, problem, self.snapshot())
@@ -327,6 +341,16 @@
         sent = len(self._records) - unreachable
         return sent < self._order.attempts_max and unreachable < UNREACHABLE_MAX
 
+    def _hedge_if_due(self, now_s: float) -> None:
+        is_early = now_s >= self._early_s
+        if is_early:
+            self._early_s = _NEVER_S
+        if now_s >= self._hedge_s or (
+            is_early and self._owner.may_hedge_early(self._order)
+        ):
+            self._hedge_s = self._early_s = _NEVER_S
+            self._hedge()
+
     def _hedge(self) -> None:
         if not self._order.is_idempotent or not self._may_send():
             return
@@ -345,7 +369,7 @@
 }
 
 
-def _hedge_time_s(order: Order, now_s: float) -> float:
-    if order.hedge_delay_s is None or not order.is_idempotent:
-        return float("inf")
-    return now_s + order.hedge_delay_s
+def _hedge_time_s(order: Order, delay_s: float | None, now_s: float) -> float:
+    if delay_s is None or not order.is_idempotent:
+        return _NEVER_S
+    return now_s + delay_s
--- a/packages/daemon/src/lycheerock/_internal/gateway/handler.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/handler.py
@@ -179,6 +179,7 @@
                 times.answer_by_s,
                 times.deadline_s,
                 times.hedge_delay_s,
+                times.early_hedge_delay_s,
             ),
         )
         entry.deliveries = end.deliveries
@@ -211,6 +212,7 @@
             route.attempts_max,
             times.deadline_s,
             times.hedge_delay_s,
+            times.early_hedge_delay_s,
         )
         delivered = await self._deliverer.start(order).run()
         entry.deliveries = {service: delivered.attempts}
--- a/packages/daemon/src/lycheerock/_internal/gateway/messages.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/messages.py
@@ -90,7 +90,7 @@
       target_id: The target.
       cause: Why it was started.
       start_s: Monotonic time of the start.
-      elapsed_s: Duration, 0 while it runs.
+      elapsed_s: Duration; so far, in a snapshot of one that runs.
       end: How it ended.
       is_sent: Whether a byte of the request may have been sent.
       detail: What is known about a failure.
--- a/packages/daemon/src/lycheerock/_internal/gateway/retry_budget.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/retry_budget.py
@@ -56,6 +56,10 @@
         bucket = self._bucket(service)
         return bucket.has_token(for_hedge=for_hedge) and bucket.take()
 
+    def has_plenty(self, service: str) -> bool:
+        """Tells whether the service may be hedged earlier than usual."""
+        return self._bucket(service).has_plenty()
+
     def _bucket(self, service: str) -> budgets.TokenBucket:
         found = self._buckets.get(service)
         if found is None:
--- a/packages/daemon/src/lycheerock/_internal/gateway/search.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/search.py
@@ -23,6 +23,7 @@
         shards are missing.
       deadline_s: Monotonic time at which the caller gives up.
       hedge_delay_s: Time after which a shard's second target is asked.
+      early_hedge_delay_s: The same while the budget is nearly full.
     """
 
     request: messages.ForwardedRequest
@@ -30,6 +31,7 @@
     answer_by_s: float
     deadline_s: float
     hedge_delay_s: float
+    early_hedge_delay_s: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -127,6 +129,7 @@
             order.route.attempts_max,
             order.deadline_s,
             order.hedge_delay_s,
+            order.early_hedge_delay_s,
         )
 
     def _on_end(self, task: _Task) -> None:
--- a/packages/daemon/src/lycheerock/_internal/gateway/timing.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/timing.py
@@ -11,6 +11,9 @@
 # most replies are in, early enough that a second one is in time.
 HEDGE_OBJECTIVE_RATIO = 0.35
 
+# The same while the budget is nearly full.
+EARLY_HEDGE_OBJECTIVE_RATIO = 0.25
+
 # A second target is asked no earlier than this many usual latencies.
 HEDGE_USUAL_RATIO = 1.5
 
@@ -28,12 +31,14 @@
       answer_by_s: Time at which a sufficient partial answer is sent.
       deadline_s: Time at which it is given up.
       hedge_delay_s: Time after a first attempt at which a second may follow.
+      early_hedge_delay_s: The same while the budget is nearly full.
     """
 
     arrival_s: float
     answer_by_s: float
     deadline_s: float
     hedge_delay_s: float
+    early_hedge_delay_s: float
 
 
 class CallerPatience:
@@ -83,12 +88,11 @@
     objective_s = route.objective_s - passed_s - ANSWER_MARGIN_S
     if objective_s <= 0.0:
         objective_s = LATE_RATIO * left_s
-    hedge_s = max(
-        HEDGE_USUAL_RATIO * usual_s, HEDGE_OBJECTIVE_RATIO * objective_s
-    )
+    least_s = HEDGE_USUAL_RATIO * usual_s
     return Times(
         arrival_s,
         arrival_s + min(objective_s, left_s),
         arrival_s + left_s,
-        hedge_s,
+        max(least_s, HEDGE_OBJECTIVE_RATIO * objective_s),
+        max(least_s, EARLY_HEDGE_OBJECTIVE_RATIO * objective_s),
     )
--- a/packages/daemon/src/lycheerock/_internal/query/budgets.py
+++ b/packages/daemon/src/lycheerock/_internal/query/budgets.py
@@ -8,6 +8,10 @@
 # Part of the saved tokens that hedges leave to retries.
 HEDGE_RESERVE_RATIO = 0.3
 
+# Part of the saved tokens that hedges sent early leave to the others, so that
+# they are only sent while few are needed.
+EARLY_HEDGE_RESERVE_RATIO = 0.75
+
 # Hedge delay until enough replies were measured.
 HEDGE_DELAY_DEFAULT_S = 0.05
 HEDGE_DELAY_MIN_S = 0.001
@@ -31,6 +35,11 @@
         kept = HEDGE_RESERVE_RATIO * self._capacity if for_hedge else 0.0
         return self._tokens >= 1.0 + kept
 
+    def has_plenty(self) -> bool:
+        """Tells whether a hedge may be sent earlier than usual."""
+        kept = EARLY_HEDGE_RESERVE_RATIO * self._capacity
+        return self._tokens >= 1.0 + kept
+
     def resize(self, ratio: float, capacity: float) -> None:
         """Takes new settings; saved tokens stay up to the capacity."""
         self._ratio = ratio
--- a/packages/daemon/src/lycheerock/_internal/targets/evidence.py
+++ b/packages/daemon/src/lycheerock/_internal/targets/evidence.py
@@ -29,6 +29,10 @@
 # garbage collection, and count as one finding.
 PAUSE_S = 0.6
 
+# A request without an answer for this long, and many times the usual latency,
+# tells of a target that is gone rather than of a pause, which is half as long.
+SILENCE_S = 0.4
+
 # Below this share of failures a reply in time shows that a target is sound.
 SOUND_FAILURE_RATIO = 0.1
 
@@ -125,6 +129,9 @@
         if flight is None:
             return
         age_s = now_s - flight.start_s
+        if age_s >= max(SILENCE_S, SAMPLE_MAX * flight.usual_s):
+            self._note_failure(now_s, 1.0, REFUSAL_WEIGHT)
+            self._decay_s = max(self._decay_s, 2.0 * DECAY_S)
         if age_s > flight.usual_s * self.slowness(now_s):
             self._sample(flight_number, now_s)
         else:
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -112,6 +112,28 @@
         shard.serve(20, period_s=0.6)
         assert shard.serve(20, period_s=0.6)["near"] >= 16
 
+    def test_silent_target_is_left_at_a_low_rate(self) -> None:
+        # Pattern: the near target goes dark for five seconds; one request in
+        # 0.6 s, given up after 0.46 s. Guards against hedges for requests to a
+        # target that has shown to be gone.
+        shard = Shard()
+        shard.serve(10, period_s=0.6)
+        silent = 0
+        for _ in range(8):
+            name = shard.choose()
+            assert name is not None
+            evidence = shard.evidence(name)
+            flight = evidence.started(shard.now_s, USUAL_S)
+            if name == "near":
+                silent += 1
+                evidence.dropped(flight, shard.now_s + 0.46)
+            else:
+                evidence.answered(flight, shard.now_s + 0.04)
+            shard.now_s += 0.6
+        assert silent <= 1
+        shard.serve(20, period_s=0.6)
+        assert shard.serve(20, period_s=0.6)["near"] >= 16
+
     def test_stopped_target_is_avoided_at_once(self) -> None:
         # Pattern: a pause of 200 ms. Guards against sending the next requests
         # to a target that has not answered the last one.
@@ -220,6 +242,18 @@
         assert repeats <= 0.2 * 900 + 52
         assert repeats >= 0.1 * 900
 
+    def test_early_hedges_end_before_the_others(self) -> None:
+        # Pattern: pauses of single targets turn into a fault of many. Guards
+        # against early hedges that leave none for requests that need one.
+        budgets = make_budgets(retry_budget.BudgetTerms(0.2, 52.0))
+        early = 0
+        while budgets.has_plenty("s"):
+            early += budgets.take("s", for_hedge=True)
+        later = 0
+        while budgets.take("s", for_hedge=True):
+            later += 1
+        assert later >= 2 * early >= 2
+
     def test_hedges_leave_tokens_to_retries(self) -> None:
         # Guards against hedges that only save time using up what would have
         # saved a shard of the answer.
