Wait until a frozen process has stopped in all threads

Measured: all threads of a busy process have stopped after 1 to 3 ms at the median and up to 20 ms, longer than a booking takes. The harness now waits for it; what the scenario checks is unchanged.

--- a/packages/bench/src/lycheerock_bench/harness.py
+++ b/packages/bench/src/lycheerock_bench/harness.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 
+from lycheerock_bench import freezing
 from lycheerock_bench import ports
 from lycheerock_bench._internal import demo
 from lycheerock_bench._internal import deployments
@@ -156,8 +157,11 @@
         return [t for service in services for t in service["targets"]]
 
     def signal(self, name: str, number: signal.Signals) -> None:
-        """Sends a signal to a process of this deployment."""
-        self.processes[name].send_signal(number)
+        """Sends a signal to a process of this deployment; a stop has effect."""
+        if number == signal.SIGSTOP:
+            freezing.freeze(self.processes[name])
+        else:
+            self.processes[name].send_signal(number)
 
     def wait_exit(self, name: str) -> int:
         """Waits for the end of a process and returns its exit code."""
