--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -12,6 +12,7 @@
 
 import aiohttp
 import aiohttp.test_utils
+import worlds
 import yarl
 
 from lycheerock._internal.gateway import daemon as daemon_lib
@@ -216,13 +217,4 @@
 
 def run(test: Callable[[World], Awaitable[None]]) -> None:
     """Runs a test in a world of its own."""
-
-    async def run_in_world() -> None:
-        world = World()
-        await world.open()
-        try:
-            await test(world)
-        finally:
-            await world.close()
-
-    asyncio.run(run_in_world())
+    worlds.run_in(World(), test)
--- /dev/null
+++ b/tests/test_feed_silence.py
@@ -0,0 +1,99 @@
+"""Tests of a feed whose publisher says nothing new or something old."""
+
+import aiohttp.test_utils
+import aiohttp.web
+import feed_world
+
+from lycheerock._internal.feed import subscription as subscription_lib
+from lycheerock_protocol import feed
+
+
+class TestSilentPublisher:
+    """A publisher that no longer confirms is left."""
+
+    def test_silence_ends_the_feed(self) -> None:
+        # Guards against a frozen publisher whose connections stay open.
+        async def test(world: feed_world.World) -> None:
+            second = await world.add("second")
+            await feed_world.wait_for(lambda: second.knows("servers", "a"))
+            server = await _serve_scripted(
+                [
+                    feed.Message("config", 50, {"main": {"version": 1}}),
+                    feed.Message("servers", 50, {"a": {"state": "ready"}}),
+                ]
+            )
+            second.subscribe((f"127.0.0.1:{server.port}",))
+            await feed_world.wait_for(second.is_fed)
+            took_s = await feed_world.wait_for(lambda: not second.is_fed())
+            assert took_s < subscription_lib.SILENCE_MAX_S + 0.3
+            assert not second.followers["servers"].is_resting
+            await server.close()
+
+        feed_world.run(test)
+
+    def test_overlapping_and_old_messages_leave_the_newest_state(self) -> None:
+        # Guards against an older change that undoes a newer one which this
+        # instance has read itself while the feed was opened.
+        async def test(world: feed_world.World) -> None:
+            second = await world.add("second")
+            await feed_world.wait_for(lambda: second.knows("servers", "a"))
+            put_b = feed.Change("b", {"state": "ready"}, False)
+            remove_b = feed.Change("b", None, True)
+            server = await _serve_scripted(
+                [
+                    feed.Message("servers", 60, {"a": {}}),
+                    feed.Message("servers", 62, None, (put_b, remove_b)),
+                    feed.Message("servers", 61, None, (put_b,)),
+                    feed.Message("config", 62, {"main": {"version": 1}}),
+                ]
+            )
+            second.subscribe((f"127.0.0.1:{server.port}",))
+            await feed_world.wait_for(second.is_fed)
+            assert not second.knows("servers", "b")
+            assert second.followers["servers"].revision == 62
+            await server.close()
+
+        feed_world.run(test)
+
+    def test_snapshot_older_than_known_is_not_taken(self) -> None:
+        # Guards against a configuration that reverts.
+        async def test(world: feed_world.World) -> None:
+            second = await world.add("second")
+            await feed_world.wait_for(lambda: second.knows("servers", "a"))
+            known = second.followers["servers"].revision
+            server = await _serve_scripted(
+                [
+                    feed.Message("servers", 1, {}),
+                    feed.Message("config", 1, {"main": {"version": 0}}),
+                ]
+            )
+            second.subscribe((f"127.0.0.1:{server.port}",))
+            await feed_world.wait_for(second.is_fed)
+            assert second.knows("servers", "a")
+            assert second.followers["servers"].revision == known
+            assert second.followers["config"].values["main"]["version"] == 1
+            await server.close()
+
+        feed_world.run(test)
+
+
+async def _serve_scripted(
+    messages: list[feed.Message],
+) -> aiohttp.test_utils.TestServer:
+    """Starts a publisher that sends `messages` and is silent from then on."""
+
+    async def serve(
+        request: aiohttp.web.Request,
+    ) -> aiohttp.web.WebSocketResponse:
+        socket = aiohttp.web.WebSocketResponse()
+        await socket.prepare(request)
+        for message in messages:
+            await socket.send_bytes(feed.encode(message))
+        await socket.receive()
+        return socket
+
+    app = aiohttp.web.Application()
+    app.router.add_get(feed.PATH, serve)
+    server = aiohttp.test_utils.TestServer(app)
+    await server.start_server()
+    return server
