--- a/review/harness_2/fleet.py
+++ b/review/harness_2/fleet.py
@@ -28,6 +28,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "search.example"
+# Time limit of a client, and of the route, in milliseconds.
+DEADLINE_MS = 2500
 
 # Exit codes of a script.
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -137,9 +139,31 @@
         leaf.delay_s = delay_s
         await leaf.start()
         self.leafs[name] = leaf
-        await self.store.store("servers", name, leaf_entry(leaf, service, zone))
+        await self.store.store(
+            "servers", name, leaf_entry(leaf.port, service, zone)
+        )
         return leaf
 
+    async def register(self, name: str, port: int, service: str) -> None:
+        """Registers a leaf that a script has started itself."""
+        await self.store.store("servers", name, leaf_entry(port, service, "z1"))
+
+    async def configure_visits(self, kind: str) -> None:
+        """Writes a desired state with one route to the service `agenda`."""
+        route = {
+            "name": "visit",
+            "host": HOST,
+            "path_prefix": "/visit/",
+            "kind": kind,
+            "timeout_ms": DEADLINE_MS,
+            "slo_ms": 458,
+            "priority": 2,
+            "service": "agenda",
+            "max_attempts": 2,
+        }
+        service = {"name": "agenda", "health_path": "/healthz", "max_conns": 52}
+        await self.configure([route], [service])
+
     async def configure(
         self, routes: list[dict[str, Any]], services: list[dict[str, Any]]
     ) -> None:
@@ -223,22 +247,29 @@
         return False
 
     async def call(
-        self, gateway: Gateway, path: str, request_id: str, deadline_ms: int
+        self,
+        gateway: Gateway,
+        path: str,
+        request_id: str,
+        method: str = "GET",
     ) -> int:
         """Sends one request on a new connection; returns its status or 0."""
         status = 0
         reason = ""
         with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
-            timeout = aiohttp.ClientTimeout(total=deadline_ms / 1000)
+            timeout = aiohttp.ClientTimeout(total=DEADLINE_MS / 1000)
             headers = {
                 "Host": HOST,
                 "X-Request-Id": request_id,
-                "X-Deadline-Ms": str(deadline_ms),
+                "X-Deadline-Ms": str(DEADLINE_MS),
             }
             async with (
                 aiohttp.ClientSession(timeout=timeout) as session,
-                session.get(
-                    f"http://{gateway.caller}{path}", headers=headers
+                session.request(
+                    method,
+                    f"http://{gateway.caller}{path}",
+                    headers=headers,
+                    data=b"visit" if method == "POST" else None,
                 ) as response,
             ):
                 body = await response.read()
@@ -254,13 +285,11 @@
         return status
 
 
-def leaf_entry(
-    leaf: fake_http_target.FakeHttpTarget, service: str, zone: str
-) -> dict[str, Any]:
+def leaf_entry(port: int, service: str, zone: str) -> dict[str, Any]:
     """Returns the entry by which a leaf registers itself."""
     return {
         "service": service,
-        "address": f"127.0.0.1:{leaf.port}",
+        "address": f"127.0.0.1:{port}",
         "zone": zone,
         "version": "v1",
         "slots": 6,
