--- a/review/harness_2/fleet.py
+++ b/review/harness_2/fleet.py
@@ -13,7 +13,6 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -23,6 +22,7 @@
 import aiohttp
 import aiohttp.web
 
+from lycheerock_bench import ports
 from lycheerock_bench._internal import fake_http_target
 from lycheerock_bench._internal import fake_platform
 
@@ -40,18 +40,6 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def free_ports(count: int) -> list[int]:
-    """Returns loopback ports that are not in use."""
-    with contextlib.ExitStack() as stack:
-        sockets = [
-            stack.enter_context(contextlib.closing(socket.socket()))
-            for _ in range(count)
-        ]
-        for opened in sockets:
-            opened.bind(("127.0.0.1", 0))
-        return [opened.getsockname()[1] for opened in sockets]
-
-
 class Record:
     """Writes what was sent, answered and run to a file."""
 
@@ -73,9 +61,8 @@
     def __init__(self, name: str, zone: str) -> None:
         self.name = name
         self.zone = zone
-        ports = free_ports(4)
         self.caller, self.ready, self.operator, self.feed = (
-            f"127.0.0.1:{port}" for port in ports
+            f"127.0.0.1:{ports.free_port()}" for _ in range(4)
         )
         self.process: asyncio.subprocess.Process | None = None
 
@@ -118,7 +105,7 @@
 
     async def open(self) -> None:
         """Starts the store."""
-        (port,) = free_ports(1)
+        port = ports.free_port()
         runner = aiohttp.web.AppRunner(self.store.build(), access_log=None)
         await runner.setup()
         await aiohttp.web.TCPSite(runner, "127.0.0.1", port).start()
