Keep a fault of one target entry with that entry

Cause: the decoder accepted any whole number; converting it to a double raised an OverflowError in the middle of the listing. The follower had stored the revision before it applied the list, so that its restarted task went on from there and never applied the rest. Evidence: `task_restarted` of "follower of servers" with that error, and the same traceback in the tests.

Change: numbers of an entry are limited where they are decoded; an error that applying one entry raises is reported with its name and stays with it; a follower whose changes were not applied lists again.

--- a/packages/bench/src/lycheerock_bench/_internal/soak/faults.py
+++ b/packages/bench/src/lycheerock_bench/_internal/soak/faults.py
@@ -36,13 +36,17 @@
 # after each, so that more frequent ones would hide their effect.
 SILENCE_PERIOD_S = 9.0
 
-# Contents that no decoder accepts.
+# Contents that name no target: four that no decoder accepts, one that is too
+# large, and one with a number that no fixed-size type holds.
 _UNREADABLE_SPECS = (
     rb'"\udcff\udc80\udcfe"',
     b'{"service": "\xff\x80"}',
     b'{"slots": 1e999}',
     b"[" * 5_000 + b"]" * 5_000,
     b'"' + b"x" * 2 * 1_048_576 + b'"',
+    b'{"service": "deska", "address": "127.0.0.1:9", "zone": "z1", '
+    b'"version": "v1", "slots": 1%s, "state": "ready", '
+    b'"warmup_left_ms": 0, "seq": 1, "born": 1}' % (b"0" * 400),
 )
 
 _TARGET_FAULTS = (
--- a/packages/daemon/src/lycheerock/_internal/discovery/follower.py
+++ b/packages/daemon/src/lycheerock/_internal/discovery/follower.py
@@ -262,8 +262,12 @@
             outage of the store.
         """
         self.values = dict(listing.values)
-        self.revision = self.values_revision = listing.revision
+        self.values_revision = listing.revision
+        # If a handler raises, the next call lists again: a watch would not
+        # return what was not applied.
+        self.revision = None
         self._handlers.on_listing(listing, was_lost)
+        self.revision = listing.revision
         self._confirm()
         for observer in self._observers:
             observer.on_listing()
@@ -278,14 +282,17 @@
 
     def apply_changes(self, changes: client_lib.Changes) -> None:
         """Applies the changes since the current revision."""
-        self.revision = self.values_revision = changes.revision
+        self.values_revision = changes.revision
         for change in changes.changes:
             if change.is_removed:
                 self.values.pop(change.name, None)
             else:
                 self.values[change.name] = change.value
         if changes.changes:
+            # As after a listing, a handler that raises causes a new one.
+            self.revision = None
             self._handlers.on_changes(changes)
+        self.revision = changes.revision
         self._confirm()
         for observer in self._observers:
             observer.on_changes(changes)
--- a/packages/daemon/src/lycheerock/_internal/discovery/targets.py
+++ b/packages/daemon/src/lycheerock/_internal/discovery/targets.py
@@ -70,19 +70,32 @@
                 self._put(change.name, change.value, now_s)
 
     def _put(self, name: str, value: Any, now_s: float) -> None:
-        entry = target_entries.decode(name, value)
-        if isinstance(entry, str):
-            kind = target_entries.OBJECT_KIND
-            # The content is None if it was unreadable, which is reported then.
-            if value is not None or not self._unreadable.is_reported(
-                kind, name
-            ):
-                digest = unreadable_lib.content_digest(value)
-                self._unreadable.record(kind, name, digest, "fields", entry)
-            self._handle_missing(name, now_s)
-            return
-        self._missing.discard(name)
-        self._registry.put(entry, now_s)
+        """Applies an entry; an error of any kind stays with this entry.
+
+        The entries after it would otherwise be lost, now and whenever the
+        store lists this one again.
+        """
+        try:
+            entry = target_entries.decode(name, value)
+            if isinstance(entry, str):
+                self._reject(name, value, "fields", entry, now_s)
+                return
+            self._missing.discard(name)
+            self._registry.put(entry, now_s)
+        except Exception as error:
+            detail = f"{type(error).__name__}: {error}"
+            self._reject(name, value, "error", detail, now_s)
+
+    def _reject(
+        self, name: str, value: Any, reason: str, detail: str, now_s: float
+    ) -> None:
+        """Reports an entry that names no target and stops using its target."""
+        kind = target_entries.OBJECT_KIND
+        # The content is None if it was unreadable, which is reported then.
+        if value is not None or not self._unreadable.is_reported(kind, name):
+            digest = unreadable_lib.content_digest(value)
+            self._unreadable.record(kind, name, digest, reason, detail)
+        self._handle_missing(name, now_s)
 
     def _handle_missing(self, target_id: str, now_s: float) -> None:
         if now_s < self._grace_until_s:
--- a/packages/daemon/src/lycheerock/_internal/platform/target_entries.py
+++ b/packages/daemon/src/lycheerock/_internal/platform/target_entries.py
@@ -17,17 +17,23 @@
 
 _PORT_MAX = 65_535
 
+# JSON sets no limit on numbers. Larger ones than these overflow the types in
+# which capacities and times are computed and sent.
+_SLOTS_MAX = 1_000_000
+_WARMUP_MAX_MS = 86_400_000.0
+_INT64_MAX = 2**63 - 1
+
 
 class _WireEntry(msgspec.Struct):
     service: str
     address: str
     zone: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=_SLOTS_MAX)]
     # "draining" announces a planned stop.
     state: Literal["ready", "draining"]
-    warmup_left_ms: float
+    warmup_left_ms: Annotated[float, msgspec.Meta(le=_WARMUP_MAX_MS)]
     # Unix time of the start in milliseconds.
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=_INT64_MAX)] = 0
 
 
 def decode(name: str, spec: Any) -> entries.TargetEntry | str:
--- a/tests/test_decoder_fuzzing.py
+++ b/tests/test_decoder_fuzzing.py
@@ -246,6 +246,8 @@
     strategies.none()
     | strategies.booleans()
     | strategies.integers()
+    # No 64-bit integer and no double holds these.
+    | strategies.sampled_from([2**63, 10**309, -(10**400)])
     | strategies.floats()
     | strategies.text(max_size=12)
     | strategies.sampled_from(["10.0.0.1:80", "ready", "draining", "safe"]),
@@ -281,6 +283,7 @@
     @hypothesis.given(
         strategies.dictionaries(NAMES, DOCUMENTS, max_size=4) | DOCUMENTS
     )
+    @hypothesis.example({"slots": 10**309})
     def test_target_entry_is_decoded_or_named_unreadable(
         self, changes: Any
     ) -> None:
@@ -290,6 +293,7 @@
         assert isinstance(found, entries.TargetEntry | str)
         if isinstance(found, entries.TargetEntry):
             assert found.slot_count >= 1
+            assert isinstance(float(found.slot_count), float)
             assert 0 < found.port <= 65_535
 
     @LONG
--- /dev/null
+++ b/tests/test_extreme_numbers.py
@@ -0,0 +1,155 @@
+"""Tests of entries and configurations with numbers that no usual type holds.
+
+JSON sets no limit on numbers, and any writer may put an entry into the store.
+A number that cannot be used must not affect more than the entry it stands in.
+"""
+
+import contextlib
+import json
+from typing import Any
+
+import gateway_harness
+import pytest
+import unreadable_harness
+
+from lycheerock._internal.discovery import follower as follower_lib
+from lycheerock._internal.discovery import probing
+from lycheerock._internal.platform import client as client_lib
+from lycheerock._internal.platform import target_entries
+
+# More than an IEEE 754 double can hold, of 401 digits.
+HUGE = 10**400
+
+GOOD = json.loads(unreadable_harness.good_spec(1))
+ROUTE = gateway_harness.forward_route("desk", "safe")
+
+
+class TestTargetEntries:
+    """Numbers in the entries of targets."""
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"slots": HUGE},
+            {"slots": 10**309},
+            {"slots": 2**63},
+            {"slots": -HUGE},
+            {"warmup_left_ms": HUGE},
+            {"warmup_left_ms": 1e300},
+            {"born": HUGE},
+            {"born": 2**63},
+        ],
+    )
+    def test_entry_with_the_number_names_no_target(
+        self, changes: dict[str, Any]
+    ) -> None:
+        # Guards against a number that fails only where it is computed with,
+        # after the entry has been accepted.
+        assert isinstance(target_entries.decode("a", GOOD | changes), str)
+
+    @pytest.mark.parametrize("is_listing", [True, False])
+    def test_other_entries_are_applied(self, is_listing: bool) -> None:
+        # Guards against entries that are not applied because one before them
+        # in the same reply raises an error.
+        targets = unreadable_harness.Targets()
+        values = {"a": GOOD | {"slots": HUGE}, "b": GOOD}
+        if is_listing:
+            targets.list(values)
+            assert targets.synchronizer.is_known
+        else:
+            changes = tuple(
+                client_lib.Change(name, 9, value, False)
+                for name, value in values.items()
+            )
+            targets.synchronizer.on_changes(client_lib.Changes(changes, 9))
+        assert targets.registry.ids() == {"b"}
+
+
+class TestUnexpectedErrors:
+    """Errors that applying one entry raises, whatever their reason."""
+
+    @pytest.mark.parametrize("is_listing", [True, False])
+    def test_other_entries_are_applied(
+        self, monkeypatch: pytest.MonkeyPatch, is_listing: bool
+    ) -> None:
+        # Guards against a value that passes the checks, fails later, and takes
+        # the entries after it along. A replaced entry must not stay in use.
+        targets = unreadable_harness.Targets()
+        targets.list({"a": GOOD, "b": GOOD})
+        put = targets.registry.put
+
+        def failing_put(entry: Any, now_s: float) -> None:
+            if entry.target_id == "a":
+                raise OverflowError("int too large to convert to float")
+            put(entry, now_s)
+
+        monkeypatch.setattr(targets.registry, "put", failing_put)
+        changed = {name: GOOD | {"slots": 5} for name in ("a", "b", "c")}
+        for _ in range(2):
+            if is_listing:
+                targets.list(changed)
+            else:
+                for name, value in changed.items():
+                    targets.change(name, value)
+        assert targets.registry.ids() == {"b", "c"}
+        # Logged and counted once, however often the entry is listed.
+        assert targets.unreadable.counts == {("servers", "error"): 1}
+
+    def test_follower_lists_again(self) -> None:
+        # Guards against a follower that goes on from the revision of changes
+        # that were not applied, and is never told of them again.
+        failures = [OverflowError(), OverflowError()]
+
+        def fail(*_arguments: Any) -> None:
+            if failures:
+                raise failures.pop()
+
+        follower = follower_lib.Follower(
+            client_lib.PlatformClient.__new__(client_lib.PlatformClient),
+            "servers",
+            1.0,
+            follower_lib.Handlers(fail, fail),
+            probing.StoreProbe(),
+        )
+        listing = client_lib.Listing({"a": GOOD}, 3)
+        with contextlib.suppress(OverflowError):
+            follower.apply_listing(listing, was_lost=False)
+        assert follower.revision is None
+        failures.clear()
+        follower.apply_listing(listing, was_lost=False)
+        assert follower.revision == 3
+        failures.append(OverflowError())
+        change = client_lib.Change("a", 4, GOOD, False)
+        with contextlib.suppress(OverflowError):
+            follower.apply_changes(client_lib.Changes((change,), 4))
+        assert follower.revision is None
+
+
+class TestGateway:
+    """A gateway whose store lists an entry with a huge number."""
+
+    @pytest.mark.parametrize("is_running", [False, True])
+    def test_other_targets_are_used(self, is_running: bool) -> None:
+        # Guards against a gateway that is never ready after a start, or does
+        # not learn of new targets, as long as the entry is listed.
+        async def test(harness: gateway_harness.GatewayHarness) -> None:
+            await harness.configure([ROUTE])
+            spec = json.dumps(GOOD | {"slots": HUGE}).encode()
+            if is_running:
+                await harness.add_target("b", "other")
+                await harness.start_gateway()
+            await harness.platform.store_raw("servers", "a", spec)
+            await harness.add_target("c", "desk", b"rows")
+            if not is_running:
+                await harness.start_gateway()
+            assert harness.daemon is not None
+            await harness.wait_for(lambda: "c" in known_targets(harness), 5.0)
+            assert (await harness.call("/safe/x", "r1"))[0] == 200
+            unreadable = harness.dump()["unreadable_entries"]
+            assert unreadable == {"servers fields": 1}
+
+        gateway_harness.run(test)
+
+
+def known_targets(harness: gateway_harness.GatewayHarness) -> set[str]:
+    return {target["target"] for target in harness.dump()["targets"]}
--- a/tests/unreadable_harness.py
+++ b/tests/unreadable_harness.py
@@ -34,10 +34,21 @@
     "null": b"null",
     "array": b"[1, 2]",
     "fields of other types": b'{"service": 1, "address": [], "slots": "4"}',
+    "complete entry with a number of 401 digits": (
+        b'{"service": "desk", "address": "127.0.0.1:7999", "zone": "z1", '
+        b'"version": "v1", "slots": 1%s, "state": "ready", '
+        b'"warmup_left_ms": 0, "seq": 1, "born": 1}' % (b"0" * 400)
+    ),
 }
 
 # Those that are JSON, and are only found to name no target.
-READABLE_JSON = ("text", "null", "array", "fields of other types")
+READABLE_JSON = (
+    "text",
+    "null",
+    "array",
+    "fields of other types",
+    "complete entry with a number of 401 digits",
+)
 
 
 def good_spec(number: int) -> bytes:
