Reject configurations whose numbers cannot be used

Callers would see: a configuration that is in force for routes, while limits of targets and the two-stage search keep the former one.

The decoder accepted numbers of any size; `CapacityEstimate.set_limits` converts `max_conns` to a double and raises after the version counts as in force, and the subscribers after the failed one are not called. The version is never applied again.

Change: the decoder limits every number, so that such a configuration leaves the last one in force; a subscriber that fails is logged (`configuration_not_applied`) and does not affect the others.

--- a/packages/daemon/src/lycheerock/_internal/discovery/routes.py
+++ b/packages/daemon/src/lycheerock/_internal/discovery/routes.py
@@ -89,4 +89,13 @@
             routes=len(found.routes),
         )
         for apply in self._subscribers:
-            apply(found)
+            try:
+                apply(found)
+            except Exception:
+                # The other parts still apply it: a version is not read twice.
+                _LOG.error(
+                    "configuration_not_applied",
+                    version=found.version,
+                    part=getattr(apply, "__qualname__", repr(apply)),
+                    exc_info=True,
+                )
--- a/packages/daemon/src/lycheerock/_internal/platform/configuration.py
+++ b/packages/daemon/src/lycheerock/_internal/platform/configuration.py
@@ -25,6 +25,11 @@
     ),
 ]
 _NotNegative = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
+# JSON sets no limit on numbers. Larger ones than these overflow the types in
+# which limits are computed, after parts of the gateway have applied them.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000_000)]
+_SizeBytes = Annotated[int, msgspec.Meta(ge=0, le=2**40)]
+_Version = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 _Rank = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
 
 # A day at most: a time out of range would fail only when a timer is set.
@@ -33,7 +38,7 @@
 
 class _WireSplit(msgspec.Struct):
     service: str
-    weight: float
+    weight: _NotNegative
 
 
 class _WireRoute(msgspec.Struct):
@@ -44,12 +49,12 @@
     kind: str
     timeout_ms: _Milliseconds
     slo_ms: _Milliseconds
-    max_attempts: int = 1
+    max_attempts: _Count = 1
     service: str | None = None
     split: list[_WireSplit] | None = None
     gather: list[str] | None = None
-    top_k: int = 0
-    min_shard_share: float = 0.0
+    top_k: _Count = 0
+    min_shard_share: _NotNegative = 0.0
     # Regions whose targets may get the requests; all regions if it is empty.
     allowed_regions: list[str] = []
     public: bool = False
@@ -69,23 +74,23 @@
 class _WireService(msgspec.Struct):
     name: str
     # Maximum number of connections to a target from all instances together.
-    max_conns: int
+    max_conns: _Count
     # Requests per second that a target accepts while it is cold; 0 sets no
     # limit.
-    warmup_per_s: float = 0.0
+    warmup_per_s: _NotNegative = 0.0
 
 
 class _WireLimits(msgspec.Struct):
     # Maximum size of the request line and of each header.
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 262_144
+    max_header_bytes: _SizeBytes = 16_384
+    max_body_bytes: _SizeBytes = 262_144
     idle_timeout_ms: _Milliseconds = 15_000.0
     # 0 sets no limit.
     header_timeout_ms: _Milliseconds = 3_000.0
 
 
 class _WireConfiguration(msgspec.Struct):
-    version: int
+    version: _Version
     routes: list[_WireRoute]
     services: list[_WireService]
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
--- a/tests/test_extreme_numbers.py
+++ b/tests/test_extreme_numbers.py
@@ -14,8 +14,10 @@
 
 from lycheerock._internal.discovery import follower as follower_lib
 from lycheerock._internal.discovery import probing
+from lycheerock._internal.discovery import routes as routes_lib
 from lycheerock._internal.platform import client as client_lib
 from lycheerock._internal.platform import target_entries
+from lycheerock._internal.routing import table
 
 # More than an IEEE 754 double can hold, of 401 digits.
 HUGE = 10**400
@@ -24,6 +26,17 @@
 ROUTE = gateway_harness.forward_route("desk", "safe")
 
 
+def configuration(version: int, **changes: Any) -> dict[str, Any]:
+    service = {"name": "desk", "max_conns": 4, **changes.pop("service", {})}
+    route = ROUTE | changes.pop("route", {})
+    return {
+        "version": version,
+        "routes": [route],
+        "services": [service],
+        **changes,
+    }
+
+
 class TestTargetEntries:
     """Numbers in the entries of targets."""
 
@@ -153,3 +166,56 @@
 
 def known_targets(harness: gateway_harness.GatewayHarness) -> set[str]:
     return {target["target"] for target in harness.dump()["targets"]}
+
+
+class TestConfiguration:
+    """Numbers in the operators' configuration."""
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"service": {"max_conns": HUGE}},
+            {"service": {"max_conns": -HUGE}},
+            {"service": {"warmup_per_s": 1e300}},
+            {"route": {"max_attempts": HUGE}},
+            {"route": {"top_k": HUGE}},
+            {"route": {"min_shard_share": 1e300}},
+            {
+                "route": {
+                    "service": None,
+                    "split": [{"service": "desk", "weight": 1e300}],
+                }
+            },
+            {"limits": {"max_header_bytes": HUGE}},
+            {"limits": {"max_body_bytes": HUGE}},
+        ],
+    )
+    def test_configuration_in_force_stays(
+        self, changes: dict[str, Any]
+    ) -> None:
+        # Guards against a configuration that is half applied: in force, while
+        # the limits of the targets are still the former ones.
+        source = routes_lib.RouteSource()
+        source.on_listing(
+            client_lib.Listing({"main": configuration(7)}, 1), False
+        )
+        bad = client_lib.Change("main", 2, configuration(8, **changes), False)
+        source.on_changes(client_lib.Changes((bad,), 2))
+        assert source.current is not None
+        assert source.current.version == 7
+
+    def test_subscriber_that_fails_does_not_affect_the_others(self) -> None:
+        # Guards against parts of a gateway that keep the former configuration
+        # because another part cannot apply the new one.
+        applied: list[int] = []
+
+        def fail(_routes: table.RouteTable) -> None:
+            raise OverflowError("int too large to convert to float")
+
+        source = routes_lib.RouteSource()
+        source.subscribe(fail)
+        source.subscribe(lambda routes: applied.append(routes.version))
+        source.on_listing(
+            client_lib.Listing({"main": configuration(7)}, 1), False
+        )
+        assert applied == [7]
