Give numbers of instances' entries their defaults if out of range

Callers would see: limits divided by an old number of instances and links to instances that are gone, as long as one entry of kind gateways with a weight of 401 digits is listed.

`decode_entries` converted the weight to a float before it limited it; the OverflowError ended the registration task, which was started again with the same entries. A start beyond 64 bits could not be sent to other instances.

Change: the weight is limited first; such a start counts as unknown.

--- a/packages/daemon/src/lycheerock/_internal/links/members.py
+++ b/packages/daemon/src/lycheerock/_internal/links/members.py
@@ -15,6 +15,8 @@
 WEIGHT_MIN = 0.01
 WEIGHT_MAX = 256.0
 
+_INT64_MAX = 2**63 - 1
+
 
 @dataclasses.dataclass(frozen=True)
 class Member:
@@ -59,13 +61,12 @@
             continue
         zone = value.get(instances.ZONE)
         zone = zone if isinstance(zone, str) else ""
-        born = value.get(instances.BORN)
         found[address] = Member(
             instance_id,
             zone,
             region_by_zone.get(zone, ""),
             _weight(value.get(instances.WEIGHT)),
-            born if isinstance(born, int) and born > 0 else 0,
+            _incarnation(value.get(instances.BORN)),
         )
     return found
 
@@ -76,4 +77,11 @@
     # A number that is not finite fails the comparison.
     if not 0.0 < value < float("inf"):
         return WEIGHT_DEFAULT
-    return min(WEIGHT_MAX, max(WEIGHT_MIN, float(value)))
+    # An integer may be too large for a float, so it is limited before.
+    return float(min(WEIGHT_MAX, max(WEIGHT_MIN, value)))
+
+
+def _incarnation(value: Any) -> int:
+    """Returns a start time that can be sent to other instances, or 0."""
+    is_valid = isinstance(value, int) and 0 < value <= _INT64_MAX
+    return int(value) if is_valid else 0
--- a/tests/test_extreme_numbers.py
+++ b/tests/test_extreme_numbers.py
@@ -15,13 +15,17 @@
 from lycheerock._internal.discovery import follower as follower_lib
 from lycheerock._internal.discovery import probing
 from lycheerock._internal.discovery import routes as routes_lib
+from lycheerock._internal.links import members as members_lib
 from lycheerock._internal.platform import client as client_lib
 from lycheerock._internal.platform import target_entries
 from lycheerock._internal.routing import table
+from lycheerock_protocol import links
 
 # More than an IEEE 754 double can hold, of 401 digits.
 HUGE = 10**400
 
+NAMES = ["positive", "negative", "beyond 64 bits", "beyond a double"]
+
 GOOD = json.loads(unreadable_harness.good_spec(1))
 ROUTE = gateway_harness.forward_route("desk", "safe")
 
@@ -219,3 +223,23 @@
             client_lib.Listing({"main": configuration(7)}, 1), False
         )
         assert applied == [7]
+
+
+class TestInstances:
+    """Numbers in the entries of instances."""
+
+    @pytest.mark.parametrize("number", [HUGE, -HUGE, 2**64, 10**309], ids=NAMES)
+    def test_fields_get_their_defaults(self, number: int) -> None:
+        # Guards against an entry of another writer that ends the reading of all
+        # entries, and against a number that cannot be sent to other instances.
+        entry = {
+            "feed_address": "127.0.0.1:7000",
+            "weight": number,
+            "born": number,
+        }
+        other = {"feed_address": "127.0.0.1:7001"}
+        found = members_lib.decode_entries({"a": entry, "b": other}, {})
+        assert sorted(found) == ["127.0.0.1:7000", "127.0.0.1:7001"]
+        member = found["127.0.0.1:7000"]
+        assert 0 < member.weight <= members_lib.WEIGHT_MAX
+        links.encode("kind", links.Hello(1, "a", member.incarnation, 0.0))
