Watch each iteration for the state that a stop test needs

Cause: test_graceful_shutdown of TestChunksOfOneByte waits for an incomplete request, looking each 10 ms. The test was wrong, not the product.

Change: the wait looks in each iteration of the event loop; the examination takes 20 at least, since one examines 1,024 chunks at most. It also waits until the whole body was sent, which the test assumed before. The checks on the response and on the body are the same.

--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -186,13 +186,24 @@
         return self.daemon.dump()
 
     async def wait_for(
-        self, condition: Callable[[], bool], limit_s: float = 10.0
+        self,
+        condition: Callable[[], bool],
+        limit_s: float = 10.0,
+        interval_s: float = 0.01,
     ) -> None:
+        """Waits for a condition.
+
+        Args:
+          condition: Returns whether the wait ends.
+          limit_s: Maximum time to wait.
+          interval_s: Time between two checks; 0 checks in each iteration of the
+            event loop, which misses no state that lasts for two of them.
+        """
         end_s = time.monotonic() + limit_s
         while not condition():
             if time.monotonic() > end_s:
                 raise TimeoutError("the condition was not met in time")
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(interval_s)
 
     async def call(
         self,
--- a/tests/test_ingress_connection.py
+++ b/tests/test_ingress_connection.py
@@ -390,8 +390,15 @@
             assert harness.task is not None
             client.writer.write(raw.chunked("r"))
             client.writer.write(ONE_BYTE_CHUNK * 20_000 + b"0\r\n\r\n")
+            transport = client.writer.transport
+            # The examination takes 20 iterations at least, but only some
+            # milliseconds.
             await harness.wait_for(
-                lambda: harness.dump()["callers"]["incomplete_requests"] > 0
+                lambda: (
+                    transport.get_write_buffer_size() == 0
+                    and harness.dump()["callers"]["incomplete_requests"] > 0
+                ),
+                interval_s=0.0,
             )
             harness.daemon.request_stop()
             assert (await client.read_response())[0] == 200
