Treat an invalid status of a target as a broken response

Callers saw: after a target's complete response with status 000 or 099 on a connection that stays open, a request waited until its deadline (504 after 20 s in the test, safe or unsafe); 600 and 999 reached the caller with the target's signature.

Cause: each status below 200 counted as that of an interim response, and every other one was passed on. The parser accepts any three digits.

Change: a status outside 100 to 599 breaks the connection where the head is decoded, so that both kinds of requests are treated as possibly run: a safe one may be sent again, an unsafe one ends with 502.

--- a/packages/bench/src/lycheerock_bench/_internal/fake_http_target.py
+++ b/packages/bench/src/lycheerock_bench/_internal/fake_http_target.py
@@ -43,6 +43,8 @@
     PLAIN_503 = "plain_503"
     # Runs the request and responds with 500.
     ERROR = "error"
+    # Runs the request and responds with `invalid_status`.
+    INVALID_STATUS = "invalid_status"
     # Declares a content encoding that was not requested.
     ENCODED = "encoded"
     # Closes a reused connection when the next request arrives.
@@ -96,6 +98,7 @@
     Attributes:
       target_id: Id of the target, which its stamp contains.
       fault: Fault applied to every request.
+      invalid_status: Status of the responses with the fault INVALID_STATUS.
       delay_s: Service time of a request.
       body: Body of the responses.
       extra_headers: Header lines added to each response, with their CRLF.
@@ -113,6 +116,7 @@
         self.target_id = target_id
         self.body = body
         self.fault = Fault.NONE
+        self.invalid_status = 0
         self.delay_s = 0.0
         self.extra_headers = b""
         self.arrivals: list[Arrival] = []
@@ -175,6 +179,9 @@
             Fault.ENDLESS_CHUNKS: b"HTTP/1.1 200 OK\r\n"
             + stamp
             + b"Transfer-Encoding: chunked\r\n\r\n",
+            Fault.INVALID_STATUS: correct.replace(
+                b"200", b"%03d" % self.invalid_status, 1
+            ),
             Fault.ENCODED: correct.replace(
                 b"\r\n\r\n", b"\r\nContent-Encoding: br\r\n\r\n", 1
             ),
--- a/packages/daemon/src/lycheerock/_internal/upstream/connection.py
+++ b/packages/daemon/src/lycheerock/_internal/upstream/connection.py
@@ -28,6 +28,11 @@
 PART_MEAN_MIN_BYTES = 64
 PARTS_MAX = 16_384
 
+# Statuses that HTTP defines (RFC 9110, section 15). A response with another one
+# is treated like one that cannot be parsed: its request may have run.
+STATUS_MIN = 100
+STATUS_MAX = 599
+
 # Maximum number of header and trailer fields, and of interim responses, of one
 # exchange.
 FIELDS_MAX = 256
@@ -175,9 +180,10 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
-            if not isinstance(error.__context__, ResponseLimitError):
+            cause = error.__context__
+            if not isinstance(cause, ConnectionBrokenError):
                 raise
-            self._fail(str(error.__context__), ResponseLimitError)
+            self._fail(str(cause), type(cause))
         except httptools.HttpParserError as error:
             self._fail(f"unreadable response: {error}")
         except httptools.HttpParserUpgrade:
@@ -226,7 +232,10 @@
         self._headers.append((key, value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
-        if self._parser.get_status_code() < 200:
+        status = self._parser.get_status_code()
+        if not STATUS_MIN <= status <= STATUS_MAX:
+            raise ConnectionBrokenError(f"invalid status {status}")
+        if status < 200:
             self._interim_count += 1
             if self._interim_count > INTERIM_RESPONSES_MAX:
                 raise ResponseLimitError("too many interim responses")
--- a/tests/test_dispatch_responses.py
+++ b/tests/test_dispatch_responses.py
@@ -133,6 +133,22 @@
 
         asyncio.run(test())
 
+    @pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+    def test_invalid_status_is_no_reply(self, status: bytes) -> None:
+        # Guards against a booking that counts as done, or as not run, by a
+        # response whose status is none of HTTP.
+        async def test() -> None:
+            target = ScriptedTarget(HEAD.replace(b"200", status) + BODY)
+            async with open_connection(target) as connection:
+                result = await send(connection, 20.0)
+                assert result.status in (
+                    work_lib.Status.MALFORMED,
+                    work_lib.Status.LOST,
+                )
+                assert target.request_count == 1
+
+        asyncio.run(test())
+
     def test_whole_response_is_a_reply(self) -> None:
         # Guards against cases above that pass because nothing is ever read.
         async def test() -> None:
