Answer all requests before the end of a planned stop

Cause: the stop closed all connections 0.6 s before the end, and nothing compared the time that was left with the time that a request takes.

Change: the deadline of a request ends 0.8 s before the grace period does; a request whose usual latency exceeds what is left is refused with 503 before it is passed on; what still runs then is answered, with 504 if a target may have it. Connections are closed 0.2 s later, as before.

--- a/packages/daemon/src/lycheerock/_internal/gateway/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/daemon.py
@@ -29,6 +29,7 @@
 from lycheerock._internal.gateway import operations
 from lycheerock._internal.gateway import request_log
 from lycheerock._internal.gateway import retry_budget
+from lycheerock._internal.gateway import running as running_lib
 from lycheerock._internal.gateway import server as server_lib
 from lycheerock._internal.gateway import shutdown
 from lycheerock._internal.gateway import warming
@@ -207,6 +208,7 @@
             ),
             self._renewed_age_s,
         )
+        self._running = running_lib.RunningRequests()
         self._handler = handler_lib.Handler(
             self._wait_for_routes,
             deliverer,
@@ -215,6 +217,7 @@
                 lambda: self._is_draining,
                 self._is_configuration_confirmed,
                 self._limiter,
+                self._running,
             ),
             self._scatter.remote_for,
         )
@@ -391,7 +394,9 @@
             self._is_draining = True
             self._publisher.close()
             self._mesh.leave()
-            await shutdown.run(server, self._settings.grace_limit_s)
+            await shutdown.run(
+                server, self._running, self._settings.grace_limit_s
+            )
         return 0
 
     def _long_lived_tasks(self) -> dict[str, Callable[[], Awaitable[None]]]:
--- a/packages/daemon/src/lycheerock/_internal/gateway/handler.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/handler.py
@@ -15,6 +15,7 @@
 from lycheerock._internal.gateway import messages
 from lycheerock._internal.gateway import refusals
 from lycheerock._internal.gateway import request_log
+from lycheerock._internal.gateway import running as running_lib
 from lycheerock._internal.gateway import search as search_lib
 from lycheerock._internal.gateway import timing
 from lycheerock._internal.ingress import callers as callers_lib
@@ -96,11 +97,15 @@
       is_draining: Whether the process is stopping.
       is_configuration_confirmed: Whether the configuration is up to date.
       limiter: Enforces the caps of workspaces.
+      running: The requests that are being handled.
     """
 
     is_draining: Callable[[], bool]
     is_configuration_confirmed: Callable[[], bool]
     limiter: limiter_lib.Limiter
+    running: running_lib.RunningRequests = dataclasses.field(
+        default_factory=running_lib.RunningRequests
+    )
 
 
 class Handler:
@@ -151,7 +156,7 @@
         received_ago_s = entry.arrival_s - connection.request_begin_s
         margin_s = connection.margin_s + received_ago_s
         try:
-            result = await self._respond(request, entry, margin_s)
+            result = await self._respond_in_time(request, entry, margin_s)
         except _RefusedError as refusal:
             result = _refusal_response(refusal)
             entry.reason = refusal.reason
@@ -188,6 +193,22 @@
         entry.reason = type(error).__name__
         return _refusal_response(_RefusedError(502, "internal_error"))
 
+    async def _respond_in_time(
+        self,
+        request: aiohttp.web.BaseRequest,
+        entry: request_log.Entry,
+        margin_s: float,
+    ) -> CallerResponse:
+        """Responds, with an error once a stop of the process needs it."""
+        expiry = None
+        try:
+            async with self._admission.running.track() as expiry:
+                return await self._respond(request, entry, margin_s)
+        except TimeoutError as error:
+            if expiry is None or not expiry.expired():
+                raise
+            raise _stopping(may_have_run=entry.was_passed_on) from error
+
     async def _respond(
         self,
         request: aiohttp.web.BaseRequest,
@@ -271,18 +292,36 @@
                 expected_latency_s,
                 margin_s=margin_s,
             )
+            times = self._end_before_stop(times, expected_latency_s)
             return await self._search(forwarded, route, times, entry)
         service = self._rotation.next(route)
+        expected_latency_s = self._deliverer.latency_window(
+            service, route.name
+        ).p90_s
         times = timing.plan(
             route,
             entry.arrival_s,
             time_left_s,
             prior_wait_s,
-            self._deliverer.latency_window(service, route.name).p90_s,
+            expected_latency_s,
             margin_s=margin_s,
         )
+        times = self._end_before_stop(times, expected_latency_s)
         return await self._forward(forwarded, route, service, times, entry)
 
+    def _end_before_stop(
+        self, times: timing.RequestTimes, expected_latency_s: float
+    ) -> timing.RequestTimes:
+        """Limits the times of a request to those that a stop leaves.
+
+        A request that has not been passed on and would probably not complete
+        is refused, since another instance can still run it.
+        """
+        running = self._admission.running
+        if running.is_too_late(time.monotonic(), expected_latency_s):
+            raise _stopping(may_have_run=False)
+        return timing.limit(times, running.respond_by_s)
+
     def _admit_again(
         self,
         request: aiohttp.web.BaseRequest,
@@ -359,6 +398,7 @@
     ) -> CallerResponse:
         rule = route.scatter
         assert rule is not None
+        entry.was_passed_on = True
         result = await search_lib.run(
             self._deliverer,
             search_lib.SearchSpec(
@@ -424,6 +464,7 @@
             times.early_hedge_delay_s,
             route.allowed_regions,
         )
+        entry.was_passed_on = True
         result = await self._deliverer.new_delivery(spec).run()
         entry.deliveries = {service: result.attempts}
         reply = result.reply
@@ -439,6 +480,13 @@
         )
 
 
+def _stopping(*, may_have_run: bool) -> _RefusedError:
+    """Returns the error for a request that the stopping process can't serve."""
+    if may_have_run:
+        return _RefusedError(504, "stopping")
+    return _RefusedError(503, "stopping", refusals.retry_after_s())
+
+
 def _refusal_for(
     result: messages.DeliveryResult, retry_after_s: Callable[[], float]
 ) -> _RefusedError:
--- a/packages/daemon/src/lycheerock/_internal/gateway/request_log.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/request_log.py
@@ -36,6 +36,7 @@
       missing_count: Number of shards that are missing from the response.
       deliveries: Attempts by service.
       reason: Reason for a refusal, or an empty string.
+      was_passed_on: Whether a target may have got the request.
     """
 
     request_id: str
@@ -50,6 +51,7 @@
         dataclasses.field(default_factory=dict)
     )
     reason: str = ""
+    was_passed_on: bool = False
 
 
 class RequestLog:
--- a/packages/daemon/src/lycheerock/_internal/gateway/timing.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/timing.py
@@ -104,3 +104,12 @@
         max(min_hedge_delay_s, HEDGE_OBJECTIVE_RATIO * objective_s),
         max(min_hedge_delay_s, EARLY_HEDGE_OBJECTIVE_RATIO * objective_s),
     )
+
+
+def limit(times: RequestTimes, end_s: float) -> RequestTimes:
+    """Returns the times of a request that must end by a monotonic time."""
+    if times.deadline_s <= end_s:
+        return times
+    return dataclasses.replace(
+        times, respond_by_s=min(times.respond_by_s, end_s), deadline_s=end_s
+    )
