Read the platform's list of instances entry by entry

Operators would see (JSON interface): instances that find no seeds, reports without instances that only the platform lists, and rollouts that stop with "reading instances failed", as long as one entry of another writer is listed.

Cause: the list was converted as a whole.

Change: each entry is converted by itself; an unreadable one is logged and counted. A rollout still waits, since the instance of an unreadable entry may be running and must acknowledge, but it names the entry.

--- a/packages/daemon/src/lycheerock/_internal/bundles/reports.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/reports.py
@@ -37,7 +37,8 @@
         Args:
           rollout: Rollout for which acknowledgements are reported.
         """
-        listed = (await self._platform.list_instances()).value_or(())
+        found = await self._platform.list_instances()
+        listed = found.value_or(client_lib.InstanceListing()).instances
         addresses = {p.instance_id: p.address for p in self._peer_set.peers()}
         for entry in listed:
             addresses.setdefault(entry.instance_id, entry.peer_address)
--- a/packages/daemon/src/lycheerock/_internal/bundles/rollout_runner.py
+++ b/packages/daemon/src/lycheerock/_internal/bundles/rollout_runner.py
@@ -98,8 +98,17 @@
             return
         self._backoff.reset()
         elapsed_s = clock() - started_s
-        self._update_required(listed.unwrap())
-        if elapsed_s > PLATFORM_SLOW_THRESHOLD_S:
+        listing = listed.unwrap()
+        self._update_required(listing.instances)
+        if listing.unreadable_names:
+            # An instance whose entry is unreadable may be running, and must
+            # acknowledge like the others.
+            names = ", ".join(sorted(listing.unreadable_names))
+            self.problem = (
+                f"the platform's entries of the instances {names} are "
+                "unreadable; write them again or remove them"
+            )
+        elif elapsed_s > PLATFORM_SLOW_THRESHOLD_S:
             self.problem = (
                 f"the platform took {elapsed_s:.1f} s to reply; the acceptance "
                 "is delayed until it responds faster"
--- a/packages/daemon/src/lycheerock/_internal/membership/seed_discovery.py
+++ b/packages/daemon/src/lycheerock/_internal/membership/seed_discovery.py
@@ -43,6 +43,6 @@
             await asyncio.sleep(backoff_s(failures, rng))
             continue
         failures = 0
-        entries = listed.unwrap()
+        entries = listed.unwrap().instances
         seeds.set_listed({i.instance_id: i.peer_address for i in entries})
         await asyncio.sleep(READ_PERIOD_S * rng.uniform(0.5, 1.5))
--- a/packages/daemon/src/lycheerock/_internal/platform/client.py
+++ b/packages/daemon/src/lycheerock/_internal/platform/client.py
@@ -106,6 +106,19 @@
     zone: str
 
 
+@dataclasses.dataclass(frozen=True)
+class InstanceListing:
+    """The instances that the platform lists.
+
+    Attributes:
+      instances: Instances whose entries are readable.
+      unreadable_names: Names of the other entries.
+    """
+
+    instances: tuple[ListedInstance, ...] = ()
+    unreadable_names: tuple[str, ...] = ()
+
+
 class StoredConflictError(exceptions.ConflictError):
     """A write failed because the object has changed.
 
@@ -346,19 +359,23 @@
 
     async def list_instances(
         self,
-    ) -> result.Result[tuple[ListedInstance, ...], exceptions.PlatformError]:
+    ) -> result.Result[InstanceListing, exceptions.PlatformError]:
         """Returns the listed instances, or a PlatformError."""
         found = await self.list_objects(INSTANCE_KIND)
-        if isinstance(found, result.Failure):
-            return found
-        values = list(found.unwrap().values.values())
-        try:
-            entries = msgspec.convert(values, tuple[ListedInstance, ...])
-        except msgspec.ValidationError as error:
-            return result.Failure(
-                _unavailable(f"reading {INSTANCE_KIND}", error)
-            )
-        return result.Success(entries)
+        return found.map(self._to_instances)
+
+    def _to_instances(self, listing: Listing) -> InstanceListing:
+        instances, unreadable_names = [], []
+        for name, value in listing.values.items():
+            try:
+                instances.append(msgspec.convert(value, ListedInstance))
+            except msgspec.ValidationError as error:
+                unreadable_names.append(name)
+                digest = unreadable_lib.content_digest(value)
+                self.unreadable.record(
+                    INSTANCE_KIND, name, digest, "fields", str(error)
+                )
+        return InstanceListing(tuple(instances), tuple(unreadable_names))
 
     async def create(
         self, kind: str, name: str, value: Mapping[str, Any]
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -110,6 +110,47 @@
         assert isinstance(found.failure(), exceptions.PlatformError)
 
 
+class TestInstances:
+    """The list of instances holds the readable entries."""
+
+    def test_unreadable_entries_do_not_hide_the_others(self) -> None:
+        # Guards against an instance that finds no seeds, and reports on none,
+        # because of one entry of another writer.
+        good = {
+            "instance_id": "i1",
+            "state": "live",
+            "peer_address": "127.0.0.1:7000",
+            "region": "r1",
+            "zone": "z1",
+        }
+
+        async def test() -> None:
+            platform = fake_platform.FakePlatform(seed=1)
+            server = aiohttp.test_utils.TestServer(platform.build())
+            await server.start_server()
+            client = client_lib.PlatformClient(f"127.0.0.1:{server.port}", "i0")
+            try:
+                await platform.store("instances", "i1", good)
+                for name, spec in (
+                    ("deep", b"[" * 5_000 + b"]" * 5_000),
+                    ("huge", b"1" + b"0" * 400),
+                    ("short", b'{"instance_id": "i2"}'),
+                ):
+                    await platform.store_raw("instances", name, spec)
+                listing = (await client.list_instances()).unwrap()
+                assert listing.instances == (client_lib.ListedInstance(**good),)
+                assert set(listing.unreadable_names) == {
+                    "deep",
+                    "huge",
+                    "short",
+                }
+            finally:
+                await client.close()
+                await server.close()
+
+        asyncio.run(test())
+
+
 def _page(items: list[object], *, more: bool) -> dict[str, object]:
     return {"items": items, "more": more, "at_rev": 9}
 
