Require all fields that targets write in their entries

Cause: an entry of another writer without `version` and `seq` was complete for the decoder, which knew only the fields that the gateway uses.

Change: both are required and checked. The entries of the project's own tests that lacked the two fields are completed, so that each still fails by the field that it is about.

--- a/packages/bench/src/lycheerock_bench/_internal/soak/faults.py
+++ b/packages/bench/src/lycheerock_bench/_internal/soak/faults.py
@@ -37,7 +37,8 @@
 SILENCE_PERIOD_S = 9.0
 
 # Contents that name no target: four that no decoder accepts, one that is too
-# large, and one with a number that no fixed-size type holds.
+# large, one with a number that no fixed-size type holds, and one that lacks
+# fields and gives the address of no target.
 _UNREADABLE_SPECS = (
     rb'"\udcff\udc80\udcfe"',
     b'{"service": "\xff\x80"}',
@@ -47,6 +48,8 @@
     b'{"service": "deska", "address": "127.0.0.1:9", "zone": "z1", '
     b'"version": "v1", "slots": 1%s, "state": "ready", '
     b'"warmup_left_ms": 0, "seq": 1, "born": 1}' % (b"0" * 400),
+    b'{"service": "deska", "address": "127.0.0.1:9", "zone": "z1", '
+    b'"slots": 4, "state": "ready", "warmup_left_ms": 0}',
 )
 
 _TARGET_FAULTS = (
--- a/packages/daemon/src/lycheerock/_internal/platform/target_entries.py
+++ b/packages/daemon/src/lycheerock/_internal/platform/target_entries.py
@@ -25,13 +25,23 @@
 
 
 class _WireEntry(msgspec.Struct):
+    """An entry as targets write it.
+
+    Fields that the gateway does not use are required as well: an entry without
+    them comes from another writer, and its address may be that of any server.
+    """
+
     service: str
     address: str
     zone: str
+    # Version of the target's software.
+    version: str
     slots: Annotated[int, msgspec.Meta(ge=1, le=_SLOTS_MAX)]
     # "draining" announces a planned stop.
     state: Literal["ready", "draining"]
     warmup_left_ms: Annotated[float, msgspec.Meta(le=_WARMUP_MAX_MS)]
+    # Number of the report.
+    seq: int
     # Unix time of the start in milliseconds.
     born: Annotated[int, msgspec.Meta(ge=0, le=_INT64_MAX)] = 0
 
--- a/tests/test_gateway_lifecycle.py
+++ b/tests/test_gateway_lifecycle.py
@@ -135,7 +135,9 @@
                         "zone": "z1",
                         "slots": 1,
                         "state": "ready",
+                        "version": "v1",
                         "warmup_left_ms": 0,
+                        "seq": 1,
                     },
                     {
                         "service": "desk",
@@ -143,7 +145,9 @@
                         "zone": "z1",
                         "slots": 1,
                         "state": "asleep",
+                        "version": "v1",
                         "warmup_left_ms": 0,
+                        "seq": 1,
                     },
                 )
             ):
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -276,7 +276,9 @@
     "zone": "z1",
     "slots": 4,
     "state": "ready",
+    "version": "v1",
     "warmup_left_ms": 0,
+    "seq": 1,
 }
 
 
@@ -301,6 +303,11 @@
             {"state": "gone"},
             {"service": None},
             {"warmup_left_ms": "soon"},
+            {"version": 1},
+            {"version": None},
+            {"seq": "1"},
+            {"seq": 1.5},
+            {"seq": None},
         ],
     )
     def test_malformed_entry_names_no_target(
@@ -310,6 +317,14 @@
         # error it causes is not one that a lost target causes.
         assert isinstance(target_entries.decode("a", ENTRY | changes), str)
 
+    @pytest.mark.parametrize("field", sorted(ENTRY))
+    def test_entry_without_a_field_names_no_target(self, field: str) -> None:
+        # Guards against the server of another system that gets requests, since
+        # an entry of another writer gives its address but lacks fields that
+        # each target writes.
+        entry = {k: v for k, v in ENTRY.items() if k != field}
+        assert isinstance(target_entries.decode("a", entry), str)
+
     def test_valid_entry_is_decoded(self) -> None:
         # Guards against checks that reject an entry of a usable target.
         entry = target_entries.decode("a", ENTRY)
--- a/tests/unreadable_harness.py
+++ b/tests/unreadable_harness.py
@@ -34,6 +34,10 @@
     "null": b"null",
     "array": b"[1, 2]",
     "fields of other types": b'{"service": 1, "address": [], "slots": "4"}',
+    "entry without two of its fields": (
+        b'{"service": "desk", "address": "127.0.0.1:7999", "zone": "z1", '
+        b'"slots": 4, "state": "ready", "warmup_left_ms": 0, "born": 1}'
+    ),
     "complete entry with a number of 401 digits": (
         b'{"service": "desk", "address": "127.0.0.1:7999", "zone": "z1", '
         b'"version": "v1", "slots": 1%s, "state": "ready", '
@@ -47,6 +51,7 @@
     "null",
     "array",
     "fields of other types",
+    "entry without two of its fields",
     "complete entry with a number of 401 digits",
 )
 
@@ -59,7 +64,9 @@
             "zone": "z1",
             "slots": 4,
             "state": "ready",
+            "version": "v1",
             "warmup_left_ms": 0,
+            "seq": 1,
             "born": 1,
             "note": 'quotes " and \\ and [brackets]} é',
         }
