Reject target entries whose names no header can carry

Targets would see: a request that no caller sent. An entry of another writer whose name contains line breaks, with the address of a target, put its name into X-Expect-Instance and thereby ended the head of each request there.

Cause: the name of an entry, unlike its fields, was not checked.

Change: a name of other than 1 to 253 visible ASCII characters names no target.

--- a/packages/daemon/src/lycheerock/_internal/platform/target_entries.py
+++ b/packages/daemon/src/lycheerock/_internal/platform/target_entries.py
@@ -1,6 +1,7 @@
 """Decodes the entries by which targets register themselves in the store."""
 
 import ipaddress
+import re
 from typing import Annotated
 from typing import Any
 from typing import Literal
@@ -17,6 +18,10 @@
 
 _PORT_MAX = 65_535
 
+# Names are sent to targets in a header. One with a line break could contain a
+# whole request.
+_NAME = re.compile(r"[\x21-\x7e]{1,253}")
+
 # JSON sets no limit on numbers. Larger ones than these overflow the types in
 # which capacities and times are computed and sent.
 _SLOTS_MAX = 1_000_000
@@ -56,6 +61,8 @@
     Returns:
       The entry, or a description of the error if it is invalid.
     """
+    if not _NAME.fullmatch(name):
+        return "the name cannot be sent in a header"
     try:
         wire = msgspec.convert(spec, _WireEntry)
         host, port = _split_address(wire.address)
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -325,6 +325,17 @@
         entry = {k: v for k, v in ENTRY.items() if k != field}
         assert isinstance(target_entries.decode("a", entry), str)
 
+    @pytest.mark.parametrize(
+        "name",
+        ["", "a b", "a\r\nX-Request-Id: x", "a\n", "a\0", "é", "a" * 254],
+    )
+    def test_name_that_no_header_can_carry_names_no_target(
+        self, name: str
+    ) -> None:
+        # Guards against an entry of another writer whose name ends the head of
+        # a request, so that a target at its address runs what follows.
+        assert isinstance(target_entries.decode(name, ENTRY), str)
+
     def test_valid_entry_is_decoded(self) -> None:
         # Guards against checks that reject an entry of a usable target.
         entry = target_entries.decode("a", ENTRY)
