Accept no response without an id where earlier ones had one

Cause: on a connection whose responses bear the request's id, one without it was refused only with a status of 2xx. Bytes that look like a rejection counted as "not run", and the request was sent to a second target.

The fake target echoes the id in its rejections and errors, as targets do.

--- a/packages/bench/src/lycheerock_bench/_internal/fake_http_target.py
+++ b/packages/bench/src/lycheerock_bench/_internal/fake_http_target.py
@@ -158,7 +158,11 @@
         correct = self.response(arrival.request_id)
         stamp = f"X-Server-Stamp: {self.target_id}.x\r\n".encode()
         unframed = b"HTTP/1.1 200 OK\r\n" + stamp + b"\r\n"
-        refusal = b"X-Request-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        echoed_id = f"X-Request-Id: {arrival.request_id}\r\n".encode()
+        refusal = (
+            echoed_id
+            + b"X-Request-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        )
         return {
             Fault.SHED: b"HTTP/1.1 503 Busy\r\n" + refusal,
             Fault.MISDIRECTED: b"HTTP/1.1 421 Misdirected\r\n" + refusal,
@@ -168,9 +172,11 @@
             Fault.STALE_FIRST: self.response("of-another-request") + correct,
             Fault.GARBAGE: b"\x00\x01 this is no response\r\n\r\n",
             Fault.PLAIN_503: b"HTTP/1.1 503 Busy\r\n"
+            + echoed_id
             + stamp
             + b"Content-Length: 0\r\n\r\n",
             Fault.ERROR: b"HTTP/1.1 500 Error\r\n"
+            + echoed_id
             + stamp
             + b"Content-Length: 4\r\n\r\nboom",
             Fault.CUT_HEAD: correct[: correct.index(b"Content-Length")],
--- a/packages/daemon/src/lycheerock/_internal/upstream/connection.py
+++ b/packages/daemon/src/lycheerock/_internal/upstream/connection.py
@@ -359,7 +359,10 @@
         if echoed is not None and echoed != self._request_id:
             self._skip_stale_response()
             return
-        if echoed is None and self._has_echoed_id and 200 <= status < 300:
+        if echoed is None and self._has_echoed_id:
+            # A target that echoes ids does so in its rejections, too. Without
+            # one, these may be surplus bytes of an earlier exchange, while the
+            # target works on this request.
             self._fail("the response has no request id, earlier ones had one")
             return
         self._has_echoed_id |= echoed is not None
