Compare positions in the store by era and revision

Cause: a position was a revision only. A watch from it was answered without the changes before it; a subscriber dropped the list of the new era, and a start from seeds chose the highest revision.

Change: the client reads Store-Era from all replies; a position is an era and a revision in followers, feeds and seeds. Any call that shows a new era makes the followers list again and the instance write its entry again. A store or a release without eras is followed as before.

--- a/packages/bench/src/lycheerock_bench/_internal/fake_platform.py
+++ b/packages/bench/src/lycheerock_bench/_internal/fake_platform.py
@@ -113,6 +113,12 @@
         self._stale_snapshot: (
             tuple[dict[tuple[str, str], _StoredObject], int] | None
         ) = None
+        # Era in all replies, or None if the store states none, and the copy to
+        # which the store can return.
+        self.era: int | None = None
+        self._copy: tuple[dict[tuple[str, str], _StoredObject], int] | None = (
+            None
+        )
         self._counts: dict[str, int] = {}
         self._client_counts: dict[str, dict[str, int]] = {}
         self._writes: list[dict[str, Any]] = []
@@ -123,6 +129,7 @@
             client_max_size=2 * VALUE_SIZE_MAX_BYTES,
             middlewares=[self._apply_faults],
         )
+        app.on_response_prepare.append(self._add_era)
         router = app.router
         router.add_get("/objects/{kind}", self._list_or_watch)
         router.add_post("/objects/{kind}", self._post)
@@ -136,6 +143,14 @@
         router.add_get("/control/writes", self._get_writes)
         return app
 
+    async def _add_era(
+        self,
+        _request: aiohttp.web.Request,
+        response: aiohttp.web.StreamResponse,
+    ) -> None:
+        if self.era is not None:
+            response.headers["Store-Era"] = str(self.era)
+
     @aiohttp.web.middleware
     async def _apply_faults(
         self, request: aiohttp.web.Request, handler: _Handler
@@ -224,15 +239,12 @@
         try:
             async with asyncio.timeout(wait_s), self._changed:
                 await self._changed.wait_for(
-                    lambda: (
-                        find_events()
-                        or after_revision < self._compacted_revision
-                    )
+                    lambda: find_events() or self._is_unknown(after_revision)
                 )
         except TimeoutError:
             # No change arrived in time; the reply then has no events.
             pass
-        if after_revision < self._compacted_revision:
+        if self._is_unknown(after_revision):
             raise aiohttp.web.HTTPGone()
         events = [
             {"object": event.stored.to_wire(), "removed": event.removed}
@@ -240,6 +252,10 @@
         ]
         return _respond(200, {"events": events, "at_rev": self._revision})
 
+    def _is_unknown(self, revision: int) -> bool:
+        """Whether the history after a revision is gone or does not exist."""
+        return not self._compacted_revision <= revision <= self._revision
+
     async def _post(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         document = await _read_document(request)
         key = (request.match_info["kind"], document["meta"]["name"])
@@ -318,6 +334,30 @@
             self._events.clear()
             self._changed.notify_all()
 
+    def save_copy(self) -> None:
+        """Keeps the current objects and revision as the copy."""
+        self._copy = dict(self._objects), self._revision
+
+    async def return_to_copy(self) -> None:
+        """Continues from the copy in a new era.
+
+        Changes since the copy are gone, and their revisions are given out
+        again. A watch from a revision that does not exist fails with 410 while
+        that is so.
+        """
+        assert self._copy is not None
+        assert self.era is not None
+        async with self._changed:
+            objects, self._revision = self._copy
+            self._objects = dict(objects)
+            self._events = [
+                event
+                for event in self._events
+                if event.stored.revision <= self._revision
+            ]
+            self.era += 1
+            self._changed.notify_all()
+
     def freeze_stale_lists(self) -> None:
         """Makes later stale lists return the state as of this call."""
         self._stale_snapshot = dict(self._objects), self._revision
--- a/packages/daemon/src/lycheerock/_internal/discovery/follower.py
+++ b/packages/daemon/src/lycheerock/_internal/discovery/follower.py
@@ -11,6 +11,7 @@
 from returns import result
 import structlog
 
+from lycheerock._internal.discovery import positions
 from lycheerock._internal.discovery import probing
 from lycheerock._internal.platform import client as client_lib
 from lycheerock_model import exceptions
@@ -75,6 +76,7 @@
         is needed.
       values_revision: Revision of the store that `values` reflects; 0 if there
         are none. Unlike `revision`, it is kept while the store is unreachable.
+      era: Era of the store that both revisions belong to; None if unknown.
       confirmed_s: Monotonic time at which `values` was last up to date.
       reconnected_s: Monotonic time at which the store last became reachable.
       is_connected: Whether the last call succeeded, or a feed is in use.
@@ -100,6 +102,7 @@
         self.values: dict[str, Any] = {}
         self.revision: int | None = None
         self.values_revision = 0
+        self.era: int | None = None
         self._failure_count = 0
         self._lost_s = time.monotonic()
         self.confirmed_s = 0.0
@@ -118,6 +121,7 @@
         self._watch_now = asyncio.Event()
         self._resumed = asyncio.Event()
         self._resumed.set()
+        platform.on_era(self._on_era)
 
     @property
     def has_state(self) -> bool:
@@ -133,6 +137,21 @@
         """Registers an observer."""
         self._observers.append(observer)
 
+    @property
+    def position(self) -> positions.Position:
+        """Position of the state; its revision is 0 while a list is needed."""
+        return positions.Position(self.era, self.revision or 0)
+
+    def _on_era(self, era: int) -> None:
+        """Lists again at once, since any call has shown a new era.
+
+        While a feed is in use, its publisher does so and sends the list.
+        """
+        if self.is_paused or not positions.is_older_era(self.era, era):
+            return
+        self.revision = None
+        self.restart_watch()
+
     @property
     def is_paused(self) -> bool:
         """Whether a feed supplies the state instead of the store."""
@@ -210,7 +229,12 @@
         if isinstance(found, result.Failure):
             failure: exceptions.PlatformError = found.failure()
             return failure
-        self.apply_changes(found.unwrap())
+        changes = found.unwrap()
+        if positions.is_other_era(changes.era, self.era):
+            # The revision that was watched belongs to other changes now.
+            self.revision = None
+            return None
+        self.apply_changes(changes)
         return None
 
     async def _pause(self) -> None:
@@ -247,7 +271,17 @@
         if isinstance(found, result.Failure):
             failure: exceptions.PlatformError = found.failure()
             return failure
-        self.apply_listing(found.unwrap(), was_lost=self._was_lost)
+        listing = found.unwrap()
+        known_era = positions.later_era(self.era, self._platform.era)
+        if positions.is_older_era(listing.era, known_era):
+            return exceptions.PlatformError(
+                f"the list of {self.kind} is of era {listing.era}, which ended "
+                f"before era {known_era}",
+                "list the objects again",
+            )
+        # A copy may lack entries that are written again soon.
+        is_new_era = positions.is_other_era(listing.era, self.era)
+        self.apply_listing(listing, was_lost=self._was_lost or is_new_era)
         self._is_stale = may_be_stale
         return None
 
@@ -263,6 +297,13 @@
         """
         self.values = dict(listing.values)
         self.values_revision = listing.revision
+        if positions.is_other_era(listing.era, self.era):
+            # The entries that the copy lacks are about to be written again.
+            self.reconnected_s = time.monotonic()
+        if listing.era is not None:
+            self.era = listing.era
+            # A feed may have stated it before any call of this instance.
+            self._platform.record_era(listing.era)
         # If a handler raises, the next call lists again: a watch would not
         # return what was not applied.
         self.revision = None
@@ -276,6 +317,7 @@
         """Applies a listing of unknown age, used until the store is reached."""
         self.values = dict(listing.values)
         self.values_revision = listing.revision
+        self.era = listing.era
         # Entries may be missing in the first list after the outage.
         self._was_lost = True
         self._handlers.on_listing(listing, True)
--- a/packages/daemon/src/lycheerock/_internal/discovery/instances.py
+++ b/packages/daemon/src/lycheerock/_internal/discovery/instances.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Mapping
+import contextlib
 import itertools
 import random
 import secrets
@@ -46,6 +47,14 @@
 RENEWAL_PERIOD_S = 60.0
 EXPIRY_S = 200.0
 
+# After the store has returned from a copy, each instance writes its entry again
+# within the first time, so that the writes are spread, and reads the others'
+# after the second one. Until then it keeps the entries that it knows. An
+# instance may notice the return later than another one by a pause and the wait
+# of a watch.
+REWRITE_SPREAD_S = 1.0
+REWRITE_WAIT_S = 6.0
+
 # Limits are divided by this multiple of the instance count, which leaves
 # headroom for instances that join before the next read.
 HEADROOM_RATIO = 1.5
@@ -116,6 +125,20 @@
         self._own_version = 0
         self._renewal_due_s = 0.0
         self._renewed_s = float("-inf")
+        self._is_rewrite_due = False
+        self._wakeup = asyncio.Event()
+        platform.on_era(self._on_era)
+
+    def _on_era(self, _era: int) -> None:
+        """Plans to write the entry again, since the copy may lack it.
+
+        The known version belongs to the former era. As a condition of a write,
+        it could hold by chance.
+        """
+        self._own_version = 0
+        self._renewal_due_s = time.monotonic()
+        self._is_rewrite_due = True
+        self._wakeup.set()
 
     async def run(self) -> None:
         """Reads all entries and renews the instance's own until cancelled."""
@@ -123,9 +146,22 @@
             FIRST_DELAYS_S, itertools.repeat(READ_PERIOD_S)
         )
         for delay_s in delays_s:
+            if self._is_rewrite_due:
+                await self._rewrite()
             if await self._read() and time.monotonic() >= self._renewal_due_s:
                 await self._renew()
-            await asyncio.sleep(delay_s)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(delay_s):
+                    await self._wakeup.wait()
+            self._wakeup.clear()
+
+    async def _rewrite(self) -> None:
+        """Writes the entry, and waits until the other instances have theirs."""
+        self._is_rewrite_due = False
+        read_s = time.monotonic() + REWRITE_WAIT_S
+        await asyncio.sleep(random.uniform(0.0, REWRITE_SPREAD_S))
+        await self._renew()
+        await asyncio.sleep(max(0.0, read_s - time.monotonic()))
 
     async def _renew(self) -> None:
         value = {
@@ -167,6 +203,9 @@
         if isinstance(found, result.Failure):
             _LOG.warning("instances_unknown", error=str(found.failure()))
             return False
+        if self._is_rewrite_due:
+            # The list, or a call beside it, has shown a new era.
+            return False
         values = found.unwrap().values
         if not self._renewal_due_s:
             self._plan_first_renewal(values.get(self._instance_id))
--- a/packages/daemon/src/lycheerock/_internal/feed/publisher.py
+++ b/packages/daemon/src/lycheerock/_internal/feed/publisher.py
@@ -188,6 +188,7 @@
             follower.is_connected
             and connected_s > targets_lib.RECONNECT_GRACE_S,
             age_ms if follower.is_connected else None,
+            follower.era,
         )
 
     def _on_listing(self, kind: str) -> None:
@@ -196,7 +197,8 @@
 
     def _on_changes(self, kind: str, changes: client_lib.Changes) -> None:
         if self._subscribers:
-            self._put(feed.encode(_to_message(kind, changes)))
+            era = self._followers[kind].era
+            self._put(feed.encode(_to_message(kind, changes, era)))
 
     def _put(self, data: bytes | None) -> None:
         for subscriber in self._subscribers:
@@ -206,7 +208,9 @@
         self._put(None)
 
 
-def _to_message(kind: str, changes: client_lib.Changes) -> feed.Message:
+def _to_message(
+    kind: str, changes: client_lib.Changes, era: int | None
+) -> feed.Message:
     return feed.Message(
         kind,
         changes.revision,
@@ -215,6 +219,7 @@
             feed.Change(change.name, change.value, change.is_removed)
             for change in changes.changes
         ),
+        era=era,
     )
 
 
--- a/packages/daemon/src/lycheerock/_internal/feed/subscription.py
+++ b/packages/daemon/src/lycheerock/_internal/feed/subscription.py
@@ -14,6 +14,7 @@
 import structlog
 
 from lycheerock._internal.discovery import follower as follower_lib
+from lycheerock._internal.discovery import positions
 from lycheerock._internal.feed import ranking
 from lycheerock._internal.feed import seed_evidence
 from lycheerock._internal.platform import client as client_lib
@@ -283,15 +284,22 @@
         follower = self._followers.get(message.kind)
         if follower is None:
             return
-        if message.revision < (follower.revision or 0):
+        if positions.is_older(_position(message), follower.position):
             # The store is still watched while a feed opens, so the follower may
-            # be ahead of the feed.
+            # be ahead of the feed, also by an era.
             return
+        is_new_era = positions.is_other_era(message.era, follower.era)
         if message.snapshot is not None:
-            listing = client_lib.Listing(message.snapshot, message.revision)
-            was_lost = not (message.is_settled and follower.is_connected)
+            listing = client_lib.Listing(
+                message.snapshot, message.revision, message.era
+            )
+            was_lost = is_new_era or not (
+                message.is_settled and follower.is_connected
+            )
             follower.apply_listing(listing, was_lost=was_lost)
             return
+        if is_new_era:
+            raise _FeedEndedError("changes of a new era without its list")
         # Some of the changes may already be known. Applying them again is
         # harmless, because the message ends with the newest change.
         follower.apply_changes(_to_changes(message))
@@ -410,24 +418,30 @@
             revision=message.revision,
         )
         follower.apply_unconfirmed(
-            client_lib.Listing(message.snapshot, message.revision)
+            client_lib.Listing(message.snapshot, message.revision, message.era)
         )
 
 
 def newest_by_kind(messages: Iterable[feed.Message]) -> list[feed.Message]:
-    """Returns the snapshot with the highest revision for each kind.
+    """Returns the snapshot with the latest position for each kind.
 
-    Revisions count all changes of the store, so the highest one belongs to the
-    instance that has read the store last.
+    Revisions count all changes of the store in an era, so the highest one
+    belongs to the instance that has read the store last.
     """
     newest: dict[str, feed.Message] = {}
     for message in messages:
         known = newest.get(message.kind)
-        if known is None or message.revision > known.revision:
+        if known is None or positions.is_older(
+            _position(known), _position(message)
+        ):
             newest[message.kind] = message
     return list(newest.values())
 
 
+def _position(message: feed.Message) -> positions.Position:
+    return positions.Position(message.era, message.revision)
+
+
 def _replies(
     requests: Iterable[asyncio.Task[seed_evidence.SeedReply]],
 ) -> list[seed_evidence.SeedReply]:
--- a/packages/daemon/src/lycheerock/_internal/gateway/daemon.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/daemon.py
@@ -493,6 +493,7 @@
             "store": {
                 kind: {
                     "is_connected": follower.is_connected,
+                    "era": follower.era,
                     "revision": follower.revision,
                     "confirmed_age_ms": round(
                         (now_s - follower.confirmed_s) * 1000
--- a/packages/daemon/src/lycheerock/_internal/platform/client.py
+++ b/packages/daemon/src/lycheerock/_internal/platform/client.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from collections.abc import Mapping
 import dataclasses
 from typing import Any
@@ -12,11 +13,14 @@
 import aiohttp
 import msgspec
 from returns import result
+import structlog
 
 from lycheerock._internal.platform import store_wire
 from lycheerock._internal.platform import unreadable as unreadable_lib
 from lycheerock_model import exceptions
 
+_LOG = structlog.get_logger()
+
 CALL_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
 # Maximum duration of a watch, after which the platform replies even if nothing
@@ -49,10 +53,12 @@
     Attributes:
       values: Content by name.
       revision: Revision from which a watch can continue.
+      era: Era of the store; None if it is unknown.
     """
 
     values: Mapping[str, Any]
     revision: int
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -79,10 +85,12 @@
     Attributes:
       changes: Changes in order; empty if there were none during the wait.
       revision: Revision from which the next watch continues.
+      era: Era of the store; None if it is unknown.
     """
 
     changes: tuple[Change, ...]
     revision: int
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -146,6 +154,7 @@
     Attributes:
       call_counts: Number of calls by kind of call.
       unreadable: Entries that could not be read.
+      era: Latest era that any reply has stated; None if none has.
     """
 
     def __init__(self, address: str, instance_id: str = ""):
@@ -159,6 +168,47 @@
         )
         self.call_counts: collections.Counter[str] = collections.Counter()
         self.unreadable = unreadable_lib.UnreadableEntries()
+        self.era: int | None = None
+        self._era_problem = ""
+        self._era_handlers: list[Callable[[int], None]] = []
+
+    def on_era(self, handler: Callable[[int], None]) -> None:
+        """Calls a handler with each era after the first that is known."""
+        self._era_handlers.append(handler)
+
+    def _read_era(self, response: aiohttp.ClientResponse) -> int | None:
+        """Returns the era of a reply, or None if it states none.
+
+        A malformed or missing header is logged once until it is readable again.
+        The reply then counts as one of the era that is known.
+        """
+        try:
+            era = store_wire.read_era(
+                response.headers.get(store_wire.ERA_HEADER)
+            )
+            problem = (
+                f"{store_wire.ERA_HEADER} is missing"
+                if era is None and self.era is not None
+                else ""
+            )
+        except ValueError as error:
+            era, problem = None, str(error)
+        if problem and not self._era_problem:
+            _LOG.warning("store_era_unreadable", error=problem, era=self.era)
+        self._era_problem = problem
+        if era is not None:
+            self.record_era(era)
+        return era
+
+    def record_era(self, era: int) -> None:
+        """Records an era that a reply, or another instance, has stated."""
+        if self.era is not None and era <= self.era:
+            return
+        previous, self.era = self.era, era
+        if previous is not None:
+            _LOG.warning("store_era_changed", era=era, previous=previous)
+            for handler in self._era_handlers:
+                handler(era)
 
     async def close(self) -> None:
         """Closes the connections."""
@@ -207,6 +257,7 @@
         url = f"{self._base_url}/objects/{kind}/{name}"
         try:
             async with self._session.get(url) as response:
+                self._read_era(response)
                 if response.status == 404:
                     return result.Success(None)
                 response.raise_for_status()
@@ -238,6 +289,7 @@
         """
         values: dict[str, Any] = {}
         revision = 0
+        era: int | None = None
         after = ""
         while True:
             self.call_counts["stale_list" if may_be_stale else "list"] += 1
@@ -246,14 +298,17 @@
             )
             if isinstance(read, result.Failure):
                 return read
-            page = read.unwrap()
+            page, page_era = read.unwrap()
+            if era is not None and page_era not in (None, era):
+                return result.Failure(_mixed_listing(kind))
+            era = page_era if era is None else era
             revision = min(revision or page.revision, page.revision)
             for entry in page.entries:
                 self._report(kind, entry)
                 if entry.name is not None and entry.revision is not None:
                     values[entry.name] = entry.value
             if not page.has_more:
-                return result.Success(Listing(values, revision))
+                return result.Success(Listing(values, revision, era))
             if page.next_after is None or page.next_after == after:
                 return result.Failure(_incomplete_listing(kind, after))
             after = page.next_after
@@ -274,18 +329,21 @@
         after: str,
         may_be_stale: bool,
         entry_size_max_bytes: int,
-    ) -> result.Result[store_wire.Page, exceptions.PlatformError]:
+    ) -> result.Result[
+        tuple[store_wire.Page, int | None], exceptions.PlatformError
+    ]:
+        """Returns a page and the era of the store."""
         url = f"{self._base_url}/objects/{kind}"
         params = {"after": after} if after else {}
         if may_be_stale:
             params["allow_stale"] = "1"
         try:
             async with self._session.get(url, params=params) as response:
+                era = self._read_era(response)
                 response.raise_for_status()
                 body = await _read_body(response)
-                return result.Success(
-                    store_wire.decode_page(body, entry_size_max_bytes)
-                )
+                page = store_wire.decode_page(body, entry_size_max_bytes)
+                return result.Success((page, era))
         except _CALL_ERRORS as error:
             return result.Failure(_unavailable(f"listing {kind}", error))
 
@@ -321,6 +379,7 @@
             async with self._session.get(
                 url, params=params, timeout=timeout
             ) as response:
+                era = self._read_era(response)
                 if response.status == 410:
                     return result.Failure(_history_gone(kind, after_revision))
                 response.raise_for_status()
@@ -328,9 +387,11 @@
                 page = store_wire.decode_events(body, entry_size_max_bytes)
         except _CALL_ERRORS as error:
             return result.Failure(_unavailable(f"watching {kind}", error))
-        return result.Success(self._to_changes(kind, page))
+        return result.Success(self._to_changes(kind, page, era))
 
-    def _to_changes(self, kind: str, page: store_wire.Page) -> Changes:
+    def _to_changes(
+        self, kind: str, page: store_wire.Page, era: int | None = None
+    ) -> Changes:
         """Converts events to changes.
 
         The value of an object whose content is unreadable is None. An event
@@ -348,7 +409,7 @@
                         entry.is_removed,
                     )
                 )
-        return Changes(tuple(changes), page.revision)
+        return Changes(tuple(changes), page.revision, era)
 
     async def list_names(
         self, kind: str
@@ -418,6 +479,7 @@
                 data=document,
                 headers=_JSON,
             ) as response:
+                self._read_era(response)
                 if response.status == 409:
                     stored = _decode(await _read_body(response))
                     return result.Failure(conflict_error(kind, name, stored))
@@ -471,6 +533,13 @@
     )
 
 
+def _mixed_listing(kind: str) -> exceptions.PlatformError:
+    return exceptions.PlatformError(
+        f"the store returned from a copy while {kind} were listed",
+        "list the objects again",
+    )
+
+
 def _history_gone(
     kind: str, after_revision: int
 ) -> exceptions.HistoryGoneError:
--- a/packages/daemon/src/lycheerock/_internal/platform/store_wire.py
+++ b/packages/daemon/src/lycheerock/_internal/platform/store_wire.py
@@ -16,6 +16,11 @@
 # msgspec reports JSON that is nested too deeply as a RecursionError.
 DECODE_ERRORS = (msgspec.DecodeError, RecursionError)
 
+# Header of all replies with the era of the store.
+ERA_HEADER = "Store-Era"
+# More digits than any era has.
+_ERA_DIGITS_MAX = 18
+
 # Character that follows all surrogates in the order of the names.
 _AFTER_SURROGATES = "\ue000"
 
@@ -99,6 +104,22 @@
     has_more: bool = False
 
 
+def read_era(text: str | None) -> int | None:
+    """Returns the era that a reply states, or None if it states none.
+
+    Args:
+      text: Value of the header, or None if it is missing.
+
+    Raises:
+      ValueError: The value is no era.
+    """
+    if text is None:
+        return None
+    if not (text.isascii() and text.isdigit()) or len(text) > _ERA_DIGITS_MAX:
+        raise ValueError(f"{ERA_HEADER} {text[:_ERA_DIGITS_MAX]!r} is no era")
+    return int(text)
+
+
 def decode_page(body: bytes, entry_size_max_bytes: int) -> Page:
     """Decodes a page of a listing.
 
--- a/packages/protocol/src/lycheerock_protocol/feed.py
+++ b/packages/protocol/src/lycheerock_protocol/feed.py
@@ -48,6 +48,8 @@
         removed. They do not shortly after a store outage.
       confirmed_age_ms: In a snapshot, the time since the sender last knew that
         it is up to date; None if the sender has lost the store.
+      era: Era of the store to which the revision belongs; None if it is
+        unknown. Earlier releases neither send nor read it.
     """
 
     kind: str
@@ -56,6 +58,7 @@
     changes: tuple[Change, ...] = ()
     is_settled: bool = True
     confirmed_age_ms: float | None = None
+    era: int | None = None
 
 
 def encode(message: Message) -> bytes:
--- a/tests/test_extreme_numbers.py
+++ b/tests/test_extreme_numbers.py
@@ -4,6 +4,7 @@
 A number that cannot be used must not affect more than the entry it stands in.
 """
 
+import asyncio
 import contextlib
 import json
 from typing import Any
@@ -115,31 +116,35 @@
     def test_follower_lists_again(self) -> None:
         # Guards against a follower that goes on from the revision of changes
         # that were not applied, and is never told of them again.
-        failures = [OverflowError(), OverflowError()]
+        failures = [OverflowError()]
 
         def fail(*_arguments: Any) -> None:
             if failures:
                 raise failures.pop()
 
-        follower = follower_lib.Follower(
-            client_lib.PlatformClient.__new__(client_lib.PlatformClient),
-            "servers",
-            1.0,
-            follower_lib.Handlers(fail, fail),
-            probing.StoreProbe(),
-        )
-        listing = client_lib.Listing({"a": GOOD}, 3)
-        with contextlib.suppress(OverflowError):
+        async def test() -> None:
+            client = client_lib.PlatformClient("127.0.0.1:1")
+            follower = follower_lib.Follower(
+                client,
+                "servers",
+                1.0,
+                follower_lib.Handlers(fail, fail),
+                probing.StoreProbe(),
+            )
+            listing = client_lib.Listing({"a": GOOD}, 3)
+            with contextlib.suppress(OverflowError):
+                follower.apply_listing(listing, was_lost=False)
+            assert follower.revision is None
             follower.apply_listing(listing, was_lost=False)
-        assert follower.revision is None
-        failures.clear()
-        follower.apply_listing(listing, was_lost=False)
-        assert follower.revision == 3
-        failures.append(OverflowError())
-        change = client_lib.Change("a", 4, GOOD, False)
-        with contextlib.suppress(OverflowError):
-            follower.apply_changes(client_lib.Changes((change,), 4))
-        assert follower.revision is None
+            assert follower.revision == 3
+            failures.append(OverflowError())
+            change = client_lib.Change("a", 4, GOOD, False)
+            with contextlib.suppress(OverflowError):
+                follower.apply_changes(client_lib.Changes((change,), 4))
+            assert follower.revision is None
+            await client.close()
+
+        asyncio.run(test())
 
 
 class TestGateway:
