Ignore a Keep-Alive timeout that is no number

Callers would see: a request that ends with 502, or is repeated, although its target's response was complete.

Cause: `isdigit` accepts "²", which `float` does not; the ValueError left the protocol's callback and closed the connection.

Change: only ASCII digits are a number.

--- a/packages/daemon/src/lycheerock/_internal/upstream/connection.py
+++ b/packages/daemon/src/lycheerock/_internal/upstream/connection.py
@@ -410,7 +410,9 @@
     """
     for part in value.split(","):
         name, _, number = part.strip().partition("=")
-        if name.lower() == "timeout" and number.strip().isdigit():
+        # Digits such as "²" are no number for `float`.
+        is_number = number.strip().isdecimal() and number.isascii()
+        if name.lower() == "timeout" and is_number:
             return float(number)
     return None
 
