Accept a lower era after five lists, split the refusals off the handler

Callers would see: an instance that follows the store no more once one reply has stated an era that is too high, and a subscriber that stays with a publisher which has not noticed a return.

Cause: lists and messages of an older era were dropped without end, and a dropped message still confirmed the state.

Change: after five lists of an older era in a row, that era is accepted (`store_era_lower`); a message of an older era confirms nothing. The errors with which the gateway responds move from handler.py to refusals.py. The check that a message of an older era is not applied, which had lost by an edit, is back.

Measured: test_wrong_era_does_not_last; the tests of feeds, gateways and the end of a stop pass.

--- a/packages/daemon/src/lycheerock/_internal/discovery/follower.py
+++ b/packages/daemon/src/lycheerock/_internal/discovery/follower.py
@@ -28,6 +28,10 @@
 RETRY_FIRST_S = 0.1
 RETRY_MAX_S = 1.5
 
+# Number of lists of an older era in a row after which that era is accepted: the
+# one that was known has been stated wrongly. Late answers are fewer.
+OLDER_LISTS_MAX = 5
+
 
 @dataclasses.dataclass(frozen=True)
 class Handlers:
@@ -103,6 +107,7 @@
         self.revision: int | None = None
         self.values_revision = 0
         self.era: int | None = None
+        self._older_list_count = 0
         self._failure_count = 0
         self._lost_s = time.monotonic()
         self.confirmed_s = 0.0
@@ -272,11 +277,10 @@
             failure: exceptions.PlatformError = found.failure()
             return failure
         listing = found.unwrap()
-        known_era = positions.later_era(self.era, self._platform.era)
-        if positions.is_older_era(listing.era, known_era):
+        if self._is_late(listing):
             return exceptions.PlatformError(
-                f"the list of {self.kind} is of era {listing.era}, which ended "
-                f"before era {known_era}",
+                f"the list of {self.kind} is of era {listing.era}, which has "
+                "ended",
                 "list the objects again",
             )
         # A copy may lack entries that are written again soon.
@@ -285,6 +289,25 @@
         self._is_stale = may_be_stale
         return None
 
+    def _is_late(self, listing: client_lib.Listing) -> bool:
+        """Returns whether a list is of an era that has ended.
+
+        After OLDER_LISTS_MAX such lists, the known era counts as wrong.
+        """
+        known_era = positions.later_era(self.era, self._platform.era)
+        if not positions.is_older_era(listing.era, known_era):
+            self._older_list_count = 0
+            return False
+        self._older_list_count += 1
+        if self._older_list_count < OLDER_LISTS_MAX:
+            return True
+        self._older_list_count = 0
+        self._platform.era = listing.era
+        _LOG.warning(
+            "store_era_lower", kind=self.kind, era=listing.era, known=known_era
+        )
+        return False
+
     def apply_listing(
         self, listing: client_lib.Listing, *, was_lost: bool
     ) -> None:
--- a/packages/daemon/src/lycheerock/_internal/feed/subscription.py
+++ b/packages/daemon/src/lycheerock/_internal/feed/subscription.py
@@ -260,9 +260,9 @@
                 async with asyncio.timeout(max(0.0, wait_s)):
                     received = await socket.receive()
                 message = _read(received)
-                self._apply(message)
-                last_message_s[message.kind] = time.monotonic()
-                missing_kinds.discard(message.kind)
+                if self._apply(message):
+                    last_message_s[message.kind] = time.monotonic()
+                    missing_kinds.discard(message.kind)
                 if not missing_kinds:
                     self._start_using(address)
                 if self._is_publishing():
@@ -280,14 +280,21 @@
             revisions={k: f.revision for k, f in self._followers.items()},
         )
 
-    def _apply(self, message: feed.Message) -> None:
+    def _apply(self, message: feed.Message) -> bool:
+        """Applies a message unless the follower is ahead of it.
+
+        Returns:
+          Whether the message confirms the state of its kind. One of an older
+          era does not: its publisher has not noticed that the store has
+          returned from a copy.
+        """
         follower = self._followers.get(message.kind)
         if follower is None:
-            return
+            return False
         if positions.is_older(_position(message), follower.position):
             # The store is still watched while a feed opens, so the follower may
-            # be ahead of the feed, also by an era.
-            return
+            # be ahead of the feed.
+            return not positions.is_older_era(message.era, follower.era)
         is_new_era = positions.is_other_era(message.era, follower.era)
         if message.snapshot is not None:
             listing = client_lib.Listing(
@@ -297,12 +304,13 @@
                 message.is_settled and follower.is_connected
             )
             follower.apply_listing(listing, was_lost=was_lost)
-            return
+            return True
         if is_new_era:
             raise _FeedEndedError("changes of a new era without its list")
         # Some of the changes may already be known. Applying them again is
         # harmless, because the message ends with the newest change.
         follower.apply_changes(_to_changes(message))
+        return True
 
     async def _fetch_initial_state(self) -> None:
         """Fetches the state from the seeds while the store is unreachable.
--- a/packages/daemon/src/lycheerock/_internal/gateway/handler.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/handler.py
@@ -39,24 +39,6 @@
 _NOT_RUN_STATUSES = frozenset({401, 404, 503})
 
 
-class _RefusedError(Exception):
-    """The gateway itself responds with an error status.
-
-    Attributes:
-      status: HTTP status.
-      reason: Reason for the log and the response body.
-      retry_after_s: Time after which the caller should retry, or None.
-    """
-
-    def __init__(
-        self, status: int, reason: str, retry_after_s: float | None = None
-    ) -> None:
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
-        self.retry_after_s = retry_after_s
-
-
 @dataclasses.dataclass(frozen=True)
 class CallerResponse:
     """The response to a caller.
@@ -157,7 +139,7 @@
         margin_s = connection.margin_s + received_ago_s
         try:
             result = await self._respond_in_time(request, entry, margin_s)
-        except _RefusedError as refusal:
+        except refusals.RefusedError as refusal:
             result = _refusal_response(refusal)
             entry.reason = refusal.reason
         except asyncio.CancelledError as error:
@@ -191,7 +173,7 @@
         # is sent.
         _LOG.error("request_error", id=entry.request_id, exc_info=True)
         entry.reason = type(error).__name__
-        return _refusal_response(_RefusedError(502, "internal_error"))
+        return _refusal_response(refusals.RefusedError(502, "internal_error"))
 
     async def _respond_in_time(
         self,
@@ -207,7 +189,7 @@
         except TimeoutError as error:
             if expiry is None or not expiry.expired():
                 raise
-            raise _stopping(may_have_run=entry.was_passed_on) from error
+            raise refusals.stopping(may_have_run=entry.was_passed_on) from error
 
     async def _respond(
         self,
@@ -217,12 +199,12 @@
     ) -> CallerResponse:
         routes = await self._wait_for_routes(FIRST_STATE_WAIT_S)
         if routes is None:
-            raise _RefusedError(
+            raise refusals.RefusedError(
                 503, "no_configuration", refusals.STARTUP_RETRY_AFTER_S
             )
         entry.configuration_version = routes.version
         if not entry.request_id:
-            raise _RefusedError(400, "no_request_id")
+            raise refusals.RefusedError(400, "no_request_id")
         admitted = self._admit(request, routes, entry)
         time_left_s = forwarding.read_time_left_s(request.headers)
         body_limit_s = admitted.route.timeout_s
@@ -238,7 +220,7 @@
             try:
                 token = await limiter.acquire(admitted.workspace.name)
             except limiter_lib.OverCapError as error:
-                raise _RefusedError(
+                raise refusals.RefusedError(
                     429, error.reason, error.retry_after_s
                 ) from error
         try:
@@ -247,7 +229,7 @@
                 # A key may have been withdrawn while the request waited.
                 admitted = self._admit_again(request, latest, admitted, entry)
             return await self._send(request, admitted, body, entry, margin_s)
-        except _RefusedError as refusal:
+        except refusals.RefusedError as refusal:
             if refusal.status in _NOT_RUN_STATUSES:
                 limiter.give_back(token)
             raise
@@ -319,7 +301,7 @@
         """
         running = self._admission.running
         if running.is_too_late(time.monotonic(), expected_latency_s):
-            raise _stopping(may_have_run=False)
+            raise refusals.stopping(may_have_run=False)
         return timing.limit(times, running.respond_by_s)
 
     def _admit_again(
@@ -335,7 +317,7 @@
         before, after = previous.workspace, admitted.workspace
         if (before and before.name) != (after and after.name):
             # The token belongs to the cap of the other workspace.
-            raise _RefusedError(
+            raise refusals.RefusedError(
                 503, "workspace_changed", refusals.retry_after_s()
             )
         return admitted
@@ -359,7 +341,7 @@
         """
         route = routes.find(request.headers.get("Host", ""), request.raw_path)
         if route is None:
-            raise _RefusedError(404, "no_route")
+            raise refusals.RefusedError(404, "no_route")
         entry.route = route.name
         if routes.workspaces.is_empty:
             return _Admitted(route, None, has_workspaces=False)
@@ -369,20 +351,20 @@
             if route.is_public:
                 return _Admitted(route, None, has_workspaces=True)
             if key is None:
-                raise _RefusedError(401, "no_key")
+                raise refusals.RefusedError(401, "no_key")
             if not self._admission.is_configuration_confirmed():
                 # The key may belong to a newer version, which this instance
                 # cannot read at present.
-                raise _RefusedError(
+                raise refusals.RefusedError(
                     503, "key_unconfirmed", refusals.retry_after_s()
                 )
-            raise _RefusedError(401, "unknown_key")
+            raise refusals.RefusedError(401, "unknown_key")
         entry.workspace = workspace.name
         regions = directory.intersect_regions(
             route.allowed_regions, workspace.allowed_regions
         )
         if regions is None:
-            raise _RefusedError(
+            raise refusals.RefusedError(
                 503, "no_allowed_region", refusals.retry_after_s()
             )
         if regions != route.allowed_regions:
@@ -421,10 +403,10 @@
             outcome = "partial" if result.missing_count else "complete"
             return CallerResponse(200, headers, result.body, outcome)
         if result.is_expired:
-            raise _RefusedError(504, "deadline")
+            raise refusals.RefusedError(504, "deadline")
         if result.may_have_run:
-            raise _RefusedError(502, "too_few_shards")
-        raise _RefusedError(
+            raise refusals.RefusedError(502, "too_few_shards")
+        raise refusals.RefusedError(
             503,
             "too_few_shards",
             self._retry_after_s(
@@ -474,32 +456,13 @@
                 reply.status, reply.headers, reply.body, outcome
             )
         assert result.problem is not None
-        raise _refusal_for(
+        raise refusals.for_result(
             result,
             lambda: self._retry_after_s(route, (service,), 1, times.deadline_s),
         )
 
 
-def _stopping(*, may_have_run: bool) -> _RefusedError:
-    """Returns the error for a request that the stopping process can't serve."""
-    if may_have_run:
-        return _RefusedError(504, "stopping")
-    return _RefusedError(503, "stopping", refusals.retry_after_s())
-
-
-def _refusal_for(
-    result: messages.DeliveryResult, retry_after_s: Callable[[], float]
-) -> _RefusedError:
-    problem = result.problem
-    assert problem is not None
-    if not result.may_have_run:
-        return _RefusedError(503, problem.value, retry_after_s())
-    if problem == messages.Problem.DEADLINE:
-        return _RefusedError(504, problem.value)
-    return _RefusedError(502, problem.value)
-
-
-def _refusal_response(refusal: _RefusedError) -> CallerResponse:
+def _refusal_response(refusal: refusals.RefusedError) -> CallerResponse:
     headers: messages.Headers = (("Content-Type", "text/plain"),)
     if refusal.retry_after_s is not None:
         headers += (("Retry-After", f"{refusal.retry_after_s:.3f}"),)
@@ -512,6 +475,16 @@
 async def _read_body(
     request: aiohttp.web.BaseRequest, size_max_bytes: int, limit_s: float
 ) -> bytes:
+    """Reads the body of a request.
+
+    Args:
+      request: The caller's request.
+      size_max_bytes: Maximum size of the body.
+      limit_s: Time limit for the rest of a body that is still incomplete.
+
+    Raises:
+      RefusedError: The body is too large, late or was refused.
+    """
     if not request.can_read_body:
         return b""
     try:
@@ -522,9 +495,9 @@
         async with asyncio.timeout(max(0.0, limit_s)):
             return await _read_parts(request, size_max_bytes)
     except TimeoutError as error:
-        raise _RefusedError(408, "body_timeout") from error
+        raise refusals.RefusedError(408, "body_timeout") from error
     except callers_lib.RequestRefusedError as error:
-        raise _RefusedError(error.status, error.reason) from error
+        raise refusals.RefusedError(error.status, error.reason) from error
 
 
 async def _read_parts(
@@ -532,12 +505,12 @@
 ) -> bytes:
     length = request.content_length
     if length is not None and length > size_max_bytes:
-        raise _RefusedError(413, "body_too_large")
+        raise refusals.RefusedError(413, "body_too_large")
     parts: list[bytes] = []
     size_bytes = 0
     async for part in request.content.iter_chunked(_READ_CHUNK_BYTES):
         size_bytes += len(part)
         if size_bytes > size_max_bytes:
-            raise _RefusedError(413, "body_too_large")
+            raise refusals.RefusedError(413, "body_too_large")
         parts.append(part)
     return b"".join(parts)
--- a/packages/daemon/src/lycheerock/_internal/gateway/refusals.py
+++ b/packages/daemon/src/lycheerock/_internal/gateway/refusals.py
@@ -1,7 +1,10 @@
-"""Retry-After times for requests that were not run."""
+"""Errors with which the gateway itself responds, and their Retry-After."""
 
+from collections.abc import Callable
 import random
 
+from lycheerock._internal.gateway import messages
+
 # Targets free a slot within some tens of milliseconds; a longer wait would make
 # the caller miss its latency objective. The jitter keeps refused callers from
 # retrying all at once.
@@ -18,6 +21,24 @@
 RETRY_AFTER_MAX_RATIO = 0.3
 
 
+class RefusedError(Exception):
+    """The gateway itself responds with an error status.
+
+    Attributes:
+      status: HTTP status.
+      reason: Reason for the log and the response body.
+      retry_after_s: Time after which the caller should retry, or None.
+    """
+
+    def __init__(
+        self, status: int, reason: str, retry_after_s: float | None = None
+    ) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
 def retry_after_s(backoff_s: float = 0.0, time_left_s: float = 0.0) -> float:
     """Returns the time after which the caller should retry.
 
@@ -32,3 +53,29 @@
         RETRY_AFTER_MIN_S,
         min(backoff_s + jitter_s, RETRY_AFTER_MAX_RATIO * time_left_s),
     )
+
+
+def stopping(*, may_have_run: bool) -> RefusedError:
+    """Returns the error for a request that the stopping process can't serve."""
+    if may_have_run:
+        return RefusedError(504, "stopping")
+    return RefusedError(503, "stopping", retry_after_s())
+
+
+def for_result(
+    result: messages.DeliveryResult, planned_retry_s: Callable[[], float]
+) -> RefusedError:
+    """Returns the error for a delivery that has no reply.
+
+    Args:
+      result: Result of the delivery.
+      planned_retry_s: Returns the time after which the caller should retry;
+        called only if no target can have run the request.
+    """
+    problem = result.problem
+    assert problem is not None
+    if not result.may_have_run:
+        return RefusedError(503, problem.value, planned_retry_s())
+    if problem == messages.Problem.DEADLINE:
+        return RefusedError(504, problem.value)
+    return RefusedError(502, problem.value)
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -81,6 +81,20 @@
 
         feed_harness.run(test)
 
+    def test_wrong_era_does_not_last(self) -> None:
+        # Guards against an instance that follows the store no more because one
+        # reply has stated an era that is too high.
+        async def test(harness: feed_harness.FeedHarness) -> None:
+            harness.platform.era = 4
+            first = await harness.add("first")
+            await feed_harness.wait_for(lambda: first.knows("servers", "a"))
+            first.platform.record_era(999)
+            await harness.platform.store("servers", "new", {"state": "ready"})
+            await feed_harness.wait_for(lambda: first.knows("servers", "new"))
+            assert first.platform.era == 4
+
+        feed_harness.run(test)
+
     def test_two_returns_in_a_row(self) -> None:
         # Guards against a list of the first return that is applied, or a
         # position that is continued, after the second one.
@@ -194,6 +208,11 @@
             first.subscription._apply(
                 feed.Message("servers", 999, snapshot, era=3)
             )
+            assert first.knows("servers", "a")
+            # Nor does it confirm that the state is up to date.
+            assert not first.subscription._apply(
+                feed.Message("servers", 999, None, era=3)
+            )
             # A release that knows no eras states none.
             first.subscription._apply(feed.Message("servers", 999, snapshot))
             assert first.knows("servers", "old")
