Wait for the feed server in the test of a stop with subscribers

The test waits for the store, but the internal servers of the process start beside the followers.

Change: the test waits until the server listens; its checks are the same.

--- a/tests/test_feed_shutdown.py
+++ b/tests/test_feed_shutdown.py
@@ -43,6 +43,7 @@
             assert harness.session is not None
             assert harness.daemon is not None
             assert harness.task is not None
+            await _wait_until_listening(address)
             socket = await harness.session.ws_connect(
                 f"http://{address}{feed.PATH}", autoclose=False
             )
@@ -77,6 +78,20 @@
         feed_harness.run(test)
 
 
+async def _wait_until_listening(address: str) -> None:
+    """Waits for the feed server, which may start after the store is known."""
+    host, _, port = address.rpartition(":")
+    async with asyncio.timeout(10.0):
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(host, int(port))
+            except ConnectionRefusedError:
+                await asyncio.sleep(0.01)
+            else:
+                writer.close()
+                return
+
+
 async def _read_all(
     socket: aiohttp.ClientWebSocketResponse, *, reads: bool
 ) -> None:
