--- a/review/harness_3/stand_ins.py
+++ b/review/harness_3/stand_ins.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import secrets
 import signal
 import socket
@@ -26,11 +27,25 @@
 _REASONS = {200: "OK", 201: "Created", 404: "Not Found", 409: "Conflict"}
 
 
+# Below the range from which the kernel takes ports for outgoing connections.
+_PORT_MIN = 20_000
+_PORT_MAX = 32_000
+_given_ports: set[int] = set()
+
+
 def free_port() -> int:
-    """Returns a loopback port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """Returns a loopback port that nobody uses, never the same one twice."""
+    while True:
+        port = random.randint(_PORT_MIN, _PORT_MAX)
+        if port in _given_ports:
+            continue
+        _given_ports.add(port)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 class _HttpServer(asyncio.Protocol):
