--- a/review/harness_3/stand_ins.py
+++ b/review/harness_3/stand_ins.py
@@ -27,9 +27,10 @@
 _REASONS = {200: "OK", 201: "Created", 404: "Not Found", 409: "Conflict"}
 
 
-# Below the range from which the kernel takes ports for outgoing connections.
-_PORT_MIN = 20_000
-_PORT_MAX = 32_000
+# Below the ports of the project's own deployments and those that the kernel gives
+# to outgoing connections.
+_PORT_MIN = 10_000
+_PORT_MAX = 17_999
 _given_ports: set[int] = set()
 
 
