--- a/review/harness_3/stand_ins.py
+++ b/review/harness_3/stand_ins.py
@@ -27,8 +27,8 @@
 _REASONS = {200: "OK", 201: "Created", 404: "Not Found", 409: "Conflict"}
 
 
-# Below the ports of the project's own deployments and those that the kernel gives
-# to outgoing connections.
+# Below the ports of the project's own deployments and those that the kernel
+# gives to outgoing connections.
 _PORT_MIN = 10_000
 _PORT_MAX = 17_999
 _given_ports: set[int] = set()
