--- a/review/14/script.py
+++ b/review/14/script.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Callable
 import json
+import os
 import pathlib
 import signal
 import sys
@@ -16,6 +17,8 @@
 
 import stand_ins  # noqa: E402 (the folder is not a package)
 
+# TROUBLE=0 plays the same without the disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 GATEWAYS = 5
 TENANT = "t-big"
 KEY = {"Authorization": "Bearer key-of-t-big"}
@@ -189,7 +192,7 @@
     if not found:
         return 2
     (killed,) = found
-    if stand_ins.has_trouble():
+    if HAS_TROUBLE:
         if not await cause_trouble(killed, store, note):
             return 2
     else:
--- a/review/harness_3/stand_ins.py
+++ b/review/harness_3/stand_ins.py
@@ -462,11 +462,6 @@
     return tempfile.TemporaryDirectory(prefix="lycheerock-review-")
 
 
-def has_trouble() -> bool:
-    """Whether the script runs with the disruption (TROUBLE is not 0)."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def service(name: str) -> dict[str, Any]:
     """Returns a service of the desired state."""
     return {
