review: an error of a script means that its case couldn't run

An exception of a script ended it with Python's exit code 1, which the issue keeps for a broken rule; it's 2 now, by one function of the stand-ins.

--- a/review/15/script.py
+++ b/review/15/script.py
@@ -6,7 +6,6 @@
 import json
 import os
 import pathlib
-import signal
 import sys
 import time
 from typing import Any
@@ -256,5 +255,4 @@
     return int(is_broken)
 
 
-signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-sys.exit(asyncio.run(main()))
+sys.exit(stand_ins.run_case(main()))
--- a/review/harness_3/stand_ins.py
+++ b/review/harness_3/stand_ins.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
 import dataclasses
 import json
 import os
@@ -16,8 +17,10 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
+import traceback
 from typing import Any
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -473,6 +476,24 @@
     }
 
 
+def run_case(case: Coroutine[Any, Any, int]) -> int:
+    """Runs a case; an error or SIGTERM means that it couldn't run.
+
+    Args:
+      case: The case, which ends the processes that it has started.
+
+    Returns:
+      The exit code: that of the case, or 2.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    try:
+        return asyncio.run(case)
+    except Exception:
+        # Python's own exit code, 1, would mean that the rule was broken.
+        traceback.print_exc()
+        return 2
+
+
 LIMITS = {
     "max_header_bytes": 16384,
     "max_body_bytes": 262144,
